--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -11,7 +11,7 @@
 import math
 import random
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -45,6 +45,7 @@
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+REPORT = 10.0  # s between lines of counters
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
@@ -70,6 +71,8 @@
         self.held: dict[int, Held] = {}
         self.last_id = 0
         self.events: deque[Event] = deque()
+        self.counts: Counter[str] = Counter()  # of what ended since the last report
+        self.reporting: asyncio.TimerHandle | None = None
         self.handling = False
         self.healthy = self.stopping = False
         self.listed: set[int] = set()  # servers in the list
@@ -135,6 +138,7 @@
     def answer(self, request_id: int, status: int, extra: bytes = b"") -> None:
         held = self.held.pop(request_id, None)
         if held is not None:
+            self.counts[f"answered {status}"] += 1
             held.client.answer(status, extra=extra)
 
     def cancel(self, action: Cancel) -> None:
@@ -162,18 +166,21 @@
 
     def withdraw(self, request_id: int) -> None:
         if self.held.pop(request_id, None) is not None:
+            self.counts["withdrawn"] += 1
             self.tell(Withdrawn(request_id))
 
     # From servers.
 
     def attempt_ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
         request_id = attempt.request_id
+        self.counts[f"attempts {result.name.lower()}"] += 1
         final = result is Result.OK
         if answer is not None and 400 <= answer.status < 500 and answer.status != 429:
             # The request is at fault, wherever it goes: it must neither go round the servers nor count
             # against them, or one bad client would have them all taken for broken. 429 would be a refusal.
             final, result = True, Result.CANCELLED
         if final and answer is not None and (held := self.held.pop(request_id, None)):
+            self.counts[f"answered {answer.status}"] += 1
             held.client.answer(answer.status, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
         self.tell(Outcome(request_id, attempt.server.id, over, result, attempt.number, elapsed))
@@ -227,9 +234,23 @@
 
     # Start and stop.
 
+    def report(self) -> None:
+        """One line of counters in a while: what became of requests, attempts and connections."""
+        sources = (self.counts, self.pool.counts, self.policy.counts)
+        counts = sum(sources, Counter[str]())
+        for source in sources:
+            source.clear()
+        if counts:
+            log.info("in %.0f s: %s", REPORT, ", ".join(f"{k} {n}" for k, n in sorted(counts.items())))
+
+    def keep_reporting(self) -> None:
+        self.report()
+        self.reporting = self.loop.call_later(REPORT, self.keep_reporting)
+
     def start(self) -> None:
         self.listener.start()
         self.discovery.start()
+        self.keep_reporting()
         log.info("%s listens on %s:%d", self.config.name, *self.listener.address)
 
     def reload(self, environ: Mapping[str, str]) -> None:
@@ -259,5 +280,7 @@
         log.info("stopped")
 
     def close(self) -> None:
+        if self.reporting is not None:
+            self.reporting.cancel()
         self.listener.close()
         self.discovery.close()
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -6,6 +6,7 @@
 import logging
 import select
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -251,6 +252,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[ServerConnection] = set()
         self.dials = 0
+        self.counts: Counter[str] = Counter()  # of what became of connections; whoever reports clears them
         self.loop.call_later(SWEEP, self.sweep)
 
     def update(self, server_id: int, address: Address, state: State, started: float) -> None:
@@ -283,8 +285,10 @@
         while server.idle:
             connection = server.idle.pop()
             if now - connection.idle_since < self.keep_idle and connection.quiet():
+                self.counts["connections reused"] += 1
                 connection.start(attempt)
                 return
+            self.counts["connections found dead"] += 1
             connection.transport.abort()
         attempt.dial = self.loop.create_task(self.connect(attempt))
 
@@ -296,6 +300,7 @@
             self.end(attempt, Result.UNREACHABLE)
             return
         self.dials += 1
+        self.counts["connections dialled"] += 1
         connection = ServerConnection(self, server)
         try:
             async with asyncio.timeout(self.dial_timeout / 1000):
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -8,6 +8,7 @@
 
 import random
 from bisect import bisect, insort
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -129,6 +130,7 @@
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
         self.carried = 0.0  # timely answers a ms and warm server, at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
+        self.counts: Counter[str] = Counter()  # why requests were given up; whoever reports clears them
         self.upkeep_at = self.halved_at = self.now = 0.0
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
         self.warm = self.sized = self.strongest = self.mean_strength = 1.0
@@ -184,6 +186,7 @@
             # by its own silence, since good and bad attempts fade alike.
             self.failed -= self.failed / STALE
             self.seen -= self.seen / STALE
+            self.counts["refused under the cut"] += 1
             self.out.append(Refuse(request.id, self.refuse_wait(score)))
             return
         job = self.jobs[request.id] = Job(request, self.now, score)
@@ -282,6 +285,7 @@
             self.out.append(Wake(until - self.now, request.id))
             return
         if not timely or (server := self.pick(job)) is None:
+            self.counts["without a usable server" if timely else "without time to be served"] += 1
             self.end(job)
             return
         job.out.add(job.tries)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -163,3 +163,21 @@
                 assert field(got, b"Request-Id") == field(data, b"Request-Id")
 
     run(test())
+
+
+def test_what_became_of_requests_attempts_and_connections_is_logged_together(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test() -> None:
+        async with running(await Peer(answer(OK)).start()) as stand:
+            client = await stand.client()
+            for _ in range(3):
+                await client.ask(request("book"))
+            with caplog.at_level("INFO"):
+                stand.node.report()
+                stand.node.report()  # nothing has happened since: no line
+            lines = [record.getMessage() for record in caplog.records]
+            told = "answered 200 3, attempts ok 3, connections dialled 1, connections reused 2"
+            assert [line for line in lines if "answered" in line] == [f"in 10 s: {told}"]
+
+    run(test())
