--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -73,7 +73,9 @@
     tokens: float  # while cold: attempts it may get; a random start keeps nodes out of step
     tokens_at: float
     health: list[Health]  # by class
-    open: dict[tuple[int, int], tuple[Job, float]] = field(default_factory=dict)  # until when not overdue
+    # Attempts without an outcome: since when, and until when not overdue.
+    open: dict[tuple[int, int], tuple[Job, float, float]] = field(default_factory=dict)
+    heard: float = 0.0  # when the youngest attempt was sent that it has answered
     recent: float = 0.0  # our recent attempts, decayed
     slow: float = 1.0  # its answers' time over the usual for their class and its kind
 
@@ -230,7 +232,8 @@
         # Of few requests held most is chance: then it looks at a longer time.
         settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP) * self.pace
         part = min(1.0, passed / settle)
-        self.in_flight += (self.flying - self.in_flight) * part
+        flying = self.flying - sum(map(self.lost, self.servers.values()))
+        self.in_flight += (flying - self.in_flight) * part
         self.sending += (self.sent / max(passed, 1.0) - self.sending) * part
         self.sent = 0
         keep = 1 - min(0.5, passed / (ERROR_TIME * self.pace))  # so that a full stop is not for ever
@@ -291,7 +294,7 @@
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
-        server.open[(request.id, job.tries)] = job, self.now + STALL * usual
+        server.open[(request.id, job.tries)] = job, self.now, self.now + STALL * usual
         if turn:
             turn.out += 1
         job.tries += 1
@@ -311,7 +314,9 @@
             fit = self.usable(server, health) and self.allowed(job, server) and server_id not in job.used
             if server is lighter or not fit:  # two draws mean two servers, also in a small fleet
                 continue
-            ours = (0.5 * server.recent / mean + 4 * len(server.open)) / max(self.strength(server), 1e-6)
+            ours = (0.5 * server.recent / mean + 4 * (len(server.open) - self.lost(server))) / max(
+                self.strength(server), 1e-6
+            )
             load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
             seen += 1
             if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
@@ -350,10 +355,16 @@
     def usable(self, server: Server, health: Health) -> bool:
         if health.rest_until > self.now or (health.rest_until and server.open):
             return False  # a suspect rests, then gets one attempt at a time until it proves itself
-        if any(overdue < self.now for _, overdue in server.open.values()):
+        if any(overdue < self.now and sent >= server.heard for _, sent, overdue in server.open.values()):
             return False  # hung or pausing, seen before any time-out
         return self.cold_share(server) >= 1.0 or self.cold_token(server)
 
+    def lost(self, server: Server) -> int:
+        """Attempts that are overdue while later ones were answered: swallowed, or far heavier than most.
+
+        They tell of themselves, not of their server, and are neither load that it has nor a stall."""
+        return sum(sent < server.heard and late < self.now for _, sent, late in server.open.values())
+
     def cold_share(self, server: Server) -> float:
         """What share of its work a server can surely do by its age."""
         settings, age = self.settings, max(0.0, self.now - server.entry.started)
@@ -386,9 +397,12 @@
 
     def on_outcome(self, outcome: Outcome) -> None:
         server = self.servers.get(outcome.server)
-        job, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0)) if server else (None, 0.0)
-        if server is None or job is None:
+        held = server.open.pop((outcome.id, outcome.attempt), None) if server else None
+        if server is None or held is None:
             return  # told twice, the server may be forgotten by now
+        job, sent, _ = held
+        if outcome.result in (Result.OK, Result.ERROR):
+            server.heard = max(server.heard, sent)
         self.forget(server)
         self.flying -= 1
         self.note_end(job, outcome)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -277,6 +277,25 @@
         stage.request(due_in=5500.0)
 
 
+def test_swallowed_requests_stall_no_server_and_are_no_load() -> None:
+    # Each server swallowed a few requests in a hundred and answered all others at once: with one of them out,
+    # it passed for stalled, and most refusals were for want of a usable server (inc816).
+    stage = Stage(settings(classes=(replace(UNSAFE, aim=5000.0, deadline=6000.0),)), servers=4)
+    swallowed = refused = 0
+    for step in range(1200):
+        stage.now += 10
+        number = stage.request(due_in=5500.0)
+        refused += not stage.attempts[number]
+        if step > 200 and step % 20 == 0:
+            swallowed += 1
+        elif stage.attempts[number]:
+            stage.now += 1
+            stage.outcome(number, 0, Result.OK, 50.0)
+    assert refused == 0
+    assert len(stage.open) == swallowed > 40
+    assert stage.policy.in_flight < 4.0
+
+
 def test_further_attempts_end_under_full_overload() -> None:
     for x, most in ((0.0, 4), (1.0, 1)):
         stage = Stage(settings(classes=(SAFE,)), servers=30)
