--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -36,7 +36,7 @@
 DRAW = 6  # servers looked at for an idle one
 IDLE = 1.15  # a server of usual pace counts as idle while what it had and holds of ours weighs under this
 SPREAD = 2.0  # servers that share a key, for each mean server's worth of traffic that it draws
-SUSPECT_AT = 0.4  # recent failures of a server, over twice those of all, above which it rests
+SUSPECT_AT, SUSPECT_MOST = 0.4, 0.85  # recent failures of a server, over thrice those of all, where it rests
 RING_POINTS = 16  # places of a server on the key ring: evens out the shares
 REST = 2000.0  # ms a suspect rests before one trial
 MAX_RESTING = 0.34  # never rest more servers than this part of our stretch: then the trouble is shared
@@ -77,6 +77,7 @@
     open: dict[tuple[int, int], tuple[Job, float, float]] = field(default_factory=dict)
     heard: float = 0.0  # when the youngest attempt was sent that it has answered
     recent: float = 0.0  # our recent attempts, decayed
+    silent: float = 0.0  # recent share of its attempts, of all classes, that no answer ended
     slow: float = 1.0  # its answers' time over the usual for their class and its kind
 
 
@@ -125,6 +126,7 @@
         self.keys_total = self.total_recent = 1e-9  # recent requests with a key, recent attempts
         self.failed = self.seen = self.no_link = 0.0  # recent attempts, decayed; share without a connection
         self.errors = 0.0  # their share that failed
+        self.failing = 0.0  # the same share, where each that failed counts in full
         self.flying, self.in_flight, self.need = 0, 0.0, 1.0  # open attempts: now, averaged, when busy
         self.sent, self.sending = 0, 0.0  # attempts since upkeep, and a ms on average
         self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
@@ -317,7 +319,7 @@
             ours = (0.5 * server.recent / mean + 4 * (len(server.open) - self.lost(server))) / max(
                 self.strength(server), 1e-6
             )
-            load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
+            load = (1 + ours * self.mean_strength) * server.slow * (1 + max(health.fails, server.silent))
             seen += 1
             if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
                 lighter, least = server, load
@@ -438,6 +440,7 @@
             weight = min(1.0, 0.5 * outcome.elapsed / self.usual[cls])
         self.seen += 1.0 - self.seen / REACH
         self.failed += weight * bad - self.failed / REACH
+        self.failing += (bad - self.failing) / REACH
         self.errors = self.failed / (self.seen + PRIOR)
         if not bad:
             self.usual[cls] += (0.02 if self.x < 0.2 else 0.002) * (outcome.elapsed - self.usual[cls])
@@ -456,20 +459,27 @@
             self.suspect(server, cls, result, weight if result == Result.RESET else 1.0)
         else:
             health.fails *= 0.7
-            health.rest_until, health.strikes = 0.0, health.strikes // 2
+            health.strikes //= 2
+            server.silent *= 0.7
+            for other in server.health:  # it answers: a class rests on for failures of its own only
+                if other is health or other.fails <= SUSPECT_AT:
+                    other.rest_until = 0.0
 
     def suspect(self, server: Server, cls: int, result: int, weight: float) -> None:
         """A failure: the server rests, for this class or for all, if it stands out."""
         # It may fail one class only; silence tells of all. 'full' is load, but one that says nothing else, as
         # before its drain is listed, would draw traffic by being quick; as no proof it costs the request.
-        gain, others = (0.3, 0.3) if result not in (Result.ERROR, Result.FULL) else (0.5, 0.1)
+        gain, others = (0.5, 0.1) if result in (Result.ERROR, Result.FULL) else (0.3, 0.0)
         if result == Result.FULL and Result.FULL in self.never_ran:
             gain, others = 0.1, 0.03
         # A reset at once is the connection's: the process that died refuses the next one.
         gain, others = gain * weight, others * weight
+        if result not in (Result.ERROR, Result.FULL):
+            server.silent += gain * (1.0 - server.silent)
+        limit = min(SUSPECT_AT + 3 * self.failing, SUSPECT_MOST)
         for other, health in enumerate(server.health):
             health.fails += (gain if other == cls else others) * (1.0 - health.fails)
-            if health.fails > SUSPECT_AT + 2 * self.errors and health.rest_until <= self.now:
+            if max(health.fails, server.silent) > limit and health.rest_until <= self.now:
                 resting = sum(self.servers[i].health[other].rest_until > self.now for i in self.ours)
                 if resting < MAX_RESTING * self.span:
                     rest = REST * 2 ** min(health.strikes, 4) * (0.75 + 0.5 * self.random.random())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
@@ -296,6 +297,28 @@
     assert stage.policy.in_flight < 4.0
 
 
+def test_chance_failures_all_over_the_fleet_rest_no_server_but_a_dead_one_rests() -> None:
+    # With one attempt in eight failing by chance at every server, failures of all classes added up against
+    # each class while only its own answers spoke for it: half the fleet rested, the others choked (inc6613).
+    stage = Stage(settings(classes=(SAFE, replace(SAFE, worth=2.0), replace(SAFE, worth=1.0))), servers=9)
+    chance, dead, resting, looks = random.Random(5), 4, 0, 0
+    for step in range(6000):
+        stage.now += 5
+        number = stage.request(step % 3)
+        for attempt in range(4):
+            if (number, attempt) not in stage.open:
+                break
+            stage.now += 1
+            bad = stage.attempts[number][attempt][1].id == dead or chance.random() < 0.12
+            stage.outcome(number, attempt, Result.RESET if bad else Result.OK, 50.0)
+        if step > 1000:
+            looks += 1
+            servers = stage.policy.servers
+            resting += sum(servers[i].health[0].rest_until > stage.now for i in servers if i != dead)
+    assert resting / looks < 0.5  # of eight
+    assert sent_to(stage).count(dead) < len(sent_to(stage)) / 90  # of an even share of one in nine
+
+
 def test_further_attempts_end_under_full_overload() -> None:
     for x, most in ((0.0, 4), (1.0, 1)):
         stage = Stage(settings(classes=(SAFE,)), servers=30)
