--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -31,6 +31,7 @@
 SAMPLE = 60.0  # their mean time reaches back over this many, or over RATE_TIME if that is more
 LEAST_TIME = 100000.0  # ms in which the quickest mean time would double: it can follow slower work
 QUICK = 1.3  # answers are quick while their mean time is under this multiple of the quickest
+JAMMED = 2.0  # from this multiple on, attempts that are out for long wait in queues
 MARGIN = 1.5  # how far over the best seen may be tried, while next to nothing fails
 SETTLE = 4000.0  # ms to average in-flight over, divided by the need
 DRAW = 6  # servers looked at for an idle one
@@ -304,7 +305,16 @@
         self.sent += 1
         server.recent += 1
         self.total_recent += 1
-        self.out.append(Send(request.id, server.entry.id, end - self.now))
+        limit = end - self.now
+        jammed = (
+            self.mean > JAMMED * self.least
+        )  # then most that are out for long wait, and more would feed it
+        if cls.effect is not Effect.UNSAFE and job.tries < self.settings.max_attempts and not jammed:
+            # One that is out for far longer than usual, and than its work explains, is likely lost: ended
+            # while there is time for another it costs the request a delay, at its deadline the answer.
+            patience = STALL * max(usual, 2 * request.hint)
+            limit = patience if patience + usual < limit else limit
+        self.out.append(Send(request.id, server.entry.id, limit))
 
     def pick(self, job: Job) -> Server | None:
         """A random idle-looking server of a small draw, else the lighter of two."""
@@ -411,7 +421,7 @@
         self.learn(server, outcome, job)
         if outcome.over or outcome.id not in self.jobs:
             self.finish(outcome.id)
-        elif outcome.result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
+        elif self.random.random() < max(self.x, self.no_link):
             self.end(job)  # resending feeds a jam, also of connections being made
         else:
             self.attempt(job)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,7 +7,19 @@
 
 import pytest
 
-from cottonhall.interface import ListKind, Log, Outcome, Refuse, Request, Result, Send, State, Subscribe, Wake
+from cottonhall.interface import (
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Result,
+    Send,
+    State,
+    Subscribe,
+    Wake,
+)
 from cottonhall.rules import ERRORS_FROM, ERRORS_FULL, PRIOR, Policy
 from tests.support import KEYED, SAFE, START, UNSAFE, Stage, server, settings
 
@@ -319,6 +331,40 @@
     assert sent_to(stage).count(dead) < len(sent_to(stage)) / 90  # of an even share of one in nine
 
 
+def calm_stage(*classes: RequestClass) -> Stage:
+    """A node that has learned that answers take 50 ms."""
+    stage = Stage(settings(classes=classes), servers=9)
+    for step in range(600):
+        stage.now += 10
+        stage.outcome(stage.request(step % len(classes)), 0, Result.OK)
+    return stage
+
+
+def test_a_request_that_a_server_swallows_is_sent_again_in_time() -> None:
+    # Each attempt had all the time that its request had: what a server swallowed was lost, though another
+    # would have answered within its aim (inc816).
+    stage = calm_stage(SAFE, KEYED, UNSAFE)
+    for cls, resent in ((0, True), (1, True), (2, False)):
+        number = stage.request(cls)
+        stage.advance(SAFE.aim - 60.0)
+        assert (len(stage.attempts[number]) == 2) is resent
+    heavy = stage.request(0, hint=100.0)  # out for long because it is much work
+    stage.advance(SAFE.aim - 60.0)
+    assert len(stage.attempts[heavy]) == 1
+
+
+def test_in_a_jam_no_attempt_is_ended_before_its_time() -> None:
+    stage = calm_stage(SAFE)
+    for _ in range(200):
+        stage.now += 10
+        number = stage.request()
+        if (number, 0) in stage.open:
+            stage.outcome(number, 0, Result.OK, 150.0)
+    stage.policy.usual = [50.0]
+    sent = [a for a in stage.give_new(0) if isinstance(a, Send)]
+    assert [a.limit for a in sent] == [900.0]
+
+
 def test_further_attempts_end_under_full_overload() -> None:
     for x, most in ((0.0, 4), (1.0, 1)):
         stage = Stage(settings(classes=(SAFE,)), servers=30)
