--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -32,6 +32,7 @@
 LEAST_TIME = 100000.0  # ms in which the quickest mean time would double: it can follow slower work
 QUICK = 1.3  # answers are quick while their mean time is under this multiple of the quickest
 JAMMED = 2.0  # answers this many times slower than at best: what is out for long waits in a queue
+LATE, PROVEN_MOST = 0.03, 1.5  # share of late answers under which what is in flight, up to so much, is fine
 MARGIN = 1.5  # how far over the best seen may be tried, while next to nothing fails
 SETTLE = 4000.0  # ms to average in-flight over, divided by the need
 DRAW = 6  # servers looked at for an idle one
@@ -133,6 +134,7 @@
         self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
         self.rate = self.best_rate = 0.0  # timely answers a ms: now and at best
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
+        self.late, self.proven = 1.0, 0.0  # recent share not in time; most in flight while few were late
         self.carried = 0.0  # timely answers a ms and warm server, at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
         self.counts: Counter[str] = Counter()  # why requests were given up; whoever reports clears them
@@ -267,7 +269,11 @@
             if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME * self.pace > SAMPLE / 2:
                 self.best_rate = max(self.best_rate, self.sending)
         margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM)
-        self.need = max(self.sized, margin * self.best_rate * self.least)
+        # Traffic is dealt out unevenly: what is answered in time is no overload, whoever's share it is.
+        self.proven *= 1 - passed / ((BEST_TIME if self.late < LATE else RATE_TIME) * self.pace)
+        if self.late < LATE:
+            self.proven = max(self.proven, min(self.in_flight, PROVEN_MOST * self.sized))
+        self.need = max(self.sized, margin * self.best_rate * self.least, self.proven)
         self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
 
     def refuse_wait(self, score: float) -> float:
@@ -464,6 +470,7 @@
             self.kinds[server.entry.kind] = kind + 0.005 * (ratio - kind)
             server.slow += 0.4 * (ratio / kind - server.slow)
         wanted = self.settings.classes[cls]
+        self.late += ((result == Result.TIMEOUT or self.now - job.since > wanted.aim) - self.late) / SAMPLE
         if not bad and (wanted.late_value or self.now - job.since <= wanted.aim):
             self.met += 1
             self.answers = min(self.answers + 1, max(SAMPLE, self.rate * RATE_TIME * self.pace))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -348,6 +348,13 @@
     assert list(stage.answers.values()).count("refused") < 15  # four times turned away
 
 
+def test_what_is_answered_in_time_is_no_overload_however_uneven_the_nodes() -> None:
+    # The front gave one of two nodes the larger part: it held more than half of what the fleet has room for,
+    # and refused one in ten while the other held little and all answers came in time (inc2771).
+    stage = Stage(settings(classes=(SAFE,), group_size=2), servers=8)
+    assert feed(stage, 125, 8, 20.0) + feed(stage, 125, 20, 48.0) == 0
+
+
 def calm_stage(*classes: RequestClass) -> Stage:
     """A node that has learned that answers take 50 ms."""
     stage = Stage(settings(classes=classes), servers=9)
