Shut a given-up attempt's connection down before the next attempt is written

The transport closed it one turn of the loop later, so a request that goes out again at once could be out twice.

--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import select
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -133,6 +135,16 @@
         poll.register(self.fd, select.POLLIN)
         return not self.transport.is_closing() and not poll.poll(0)
 
+    def give_up(self) -> None:
+        """End an attempt on the wire at once: the transport closes a turn of the loop later, and by then the
+        next attempt of the same request may have been written to another server."""
+        if not self.transport.is_closing():
+            sock = socket.socket(fileno=self.fd)
+            with contextlib.suppress(OSError):  # the server was quicker
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.detach()
+        self.transport.abort()
+
     def start(self, attempt: Attempt) -> None:
         self.attempt = attempt
         self.idled = attempt.started - self.idle_since if self.idle_since else 0.0
@@ -165,7 +177,7 @@
 
     def malformed(self, what: str) -> None:
         attempt, self.attempt = self.attempt, None
-        self.transport.abort()
+        self.give_up()
         if attempt is not None:
             log.warning("server %s:%d: malformed answer: %s", *self.server.address, what)
             self.pool.end(attempt, Result.ERROR)
@@ -379,7 +391,7 @@
             attempt.dial.cancel()
         if attempt.connection is not None:
             attempt.connection.attempt = None
-            attempt.connection.transport.abort()
+            attempt.connection.give_up()
         self.end(attempt, result)
 
     def end(self, attempt: Attempt, result: Result, answer: Answer | None = None) -> None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -463,3 +463,22 @@
             assert not any(peer.connections for peer in peers)
 
     run(test())
+
+
+def test_a_given_up_attempt_has_ended_on_the_wire_before_the_next_one_is_written() -> None:
+    # The transport closes a turn of the loop later: a request sent again at once was out twice until then.
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            client.writer.write(request("find"))
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            pool = stand.node.pool
+            ((key, attempt),) = pool.attempts.items()
+            assert attempt.connection is not None
+            with socket.socket(fileno=os.dup(attempt.connection.fd)) as same:
+                pool.cancel(*key)
+                state = same.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+            assert state != 1  # not established any more
+
+    run(test())
