Send nothing for a client that left during the dial where attempts can't be cancelled

Seen: by a forced crossing. Checked: with MayCancel true the module's Cancel ends the dial; an attempt that is out already is left alone, as it must be. Lines at fault: Node.withdraw told the module only, whose finish() emits Cancel only where it may. Now the pool calls off what has no connection yet, reported as NOT_SENT. Before: outcome OK for a request without a client; after: NOT_SENT and nothing on the wire.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -167,9 +167,10 @@
         self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat))
 
     def withdraw(self, request_id: int) -> None:
-        if self.held.pop(request_id, None) is not None:
+        if (held := self.held.pop(request_id, None)) is not None:
             self.counts["withdrawn"] += 1
             self.tell(Withdrawn(request_id))
+            self.pool.call_off(request_id, held.sends - 1)
 
     # From servers.
 
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -385,6 +385,13 @@
         if attempt is not None:
             self.drop(attempt, Result.CANCELLED)
 
+    def call_off(self, request_id: int, number: int) -> None:
+        """Its request is over: an attempt that has no connection yet must not be written when it gets one,
+        whether or not attempts that are out may be cancelled."""
+        attempt = self.attempts.get((request_id, number))
+        if attempt is not None and attempt.connection is None:
+            self.drop(attempt, Result.NOT_SENT)
+
     def drop(self, attempt: Attempt, result: Result) -> None:
         """Stop waiting: the connection is of no more use, an answer may still come on it."""
         if attempt.dial is not None:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,113 @@
+"""Two things that happen at once, in the order that does harm: forced by a held dial, clock or answer."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from cottonhall.interface import (
+    Result,
+    Settings,
+    Withdrawn,
+)
+from tests.net import (
+    WAIT,
+    Peer,
+    Stand,
+    config,
+    held_back,
+    request,
+    run,
+    running,
+)
+
+MANY = b"".join(request() for _ in range(100))  # more than are taken up at a time: reading rests
+
+
+class HeldDial:
+    """A loop whose dials come up, and hand over their connection only once they are let go."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.begun, self.go = asyncio.Event(), asyncio.Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, *words: Any) -> Any:
+        made = await self.loop.create_connection(*words)
+        self.begun.set()
+        try:
+            await self.go.wait()
+        except asyncio.CancelledError:
+            made[0].abort()  # as the loop itself does
+            raise
+        return made
+
+
+def hold_dials(stand: Stand) -> HeldDial:
+    dial = HeldDial(asyncio.get_running_loop())
+    stand.node.pool.loop = dial  # type: ignore[assignment]
+    return dial
+
+
+def no_cancel() -> Settings:
+    """As the other tests have it, in a deployment where attempts can't be cancelled."""
+    return replace(config(1).settings, may_cancel=False)
+
+
+def age(stand: Stand) -> None:
+    """Let the idle connections to servers have stood for as long as it takes to use them again."""
+    for server in stand.node.pool.servers.values():
+        for connection in server.idle:
+            connection.idle_since -= 1000.0
+
+
+async def soon(true: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT):
+        while not true():
+            await asyncio.sleep(0)
+
+
+def raw_client(stand: Stand) -> socket.socket:
+    """A client whose every step has happened when the call returns, without a turn of the loop."""
+    return socket.create_connection(stand.node.listener.address)
+
+
+def test_a_request_whose_client_left_during_the_dial_is_not_sent() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer, settings=no_cancel()) as stand:
+            dial = hold_dials(stand)
+            client = await stand.client()
+            client.writer.write(request("pay"))
+            await asyncio.wait_for(dial.begun.wait(), WAIT)
+            client.writer.close()
+            await stand.event(Withdrawn)
+            dial.go.set()
+            assert (await stand.outcome()).result == Result.NOT_SENT
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+            assert peer.requests.empty() and not stand.node.pool.attempts
+
+    run(test())
+
+
+def test_an_attempt_that_is_out_is_left_alone_where_none_may_be_cancelled() -> None:
+    release = asyncio.Event()
+
+    async def test() -> None:
+        peer = await Peer(held_back(release)).start()
+        async with running(peer, settings=no_cancel()) as stand:
+            client = await stand.client()
+            client.writer.write(request("pay"))
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            client.writer.close()
+            await stand.event(Withdrawn)
+            release.set()
+            assert (await stand.outcome()).result == Result.OK
+            assert peer.ended.empty()
+
+    run(test())
