Send nothing for a client that has left unseen, behind unread bytes or in the backlog

Seen: by forced crossings. A client pipelines more than are taken up at a time, so reading rests, and closes: its close lies unread behind what it sent, and each further request was begun and written to a server, long after the client had gone. Likewise a client that connects while the listener rests at its limit, asks and closes. Checked: a close that can be read is acted on within the loop's turn, and rightly so; the module needs no change. Lines at fault: Node.send looked at nothing but the module's action; ClientConnection.read_on is the only way back to reading. Such a send is told to the module as NOT_SENT.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import re
+import select
 import socket
 from collections import deque
 from dataclasses import dataclass
@@ -226,6 +227,8 @@
         for client in self.overdue(self.arriving, now - REQUEST_TIME):
             client.refuse(408)
             client.next()
+        for client in [c for c in self.connections if c.paused and c.gone()]:
+            client.transport.abort()
         # A client that does not read its answer has longer than one that has it, but must not stay for ever.
         told = [c for c in self.overdue(self.ending, now - LINGER) if not c.transport.get_write_buffer_size()]
         for client in (
@@ -343,6 +346,7 @@
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
         self.parser = httptools.HttpRequestParser(self)
+        self.fd = transport.get_extra_info("socket").fileno()
         self.since = self.listener.loop.time()
         self.put(self.listener.silent, self.since)
 
@@ -360,6 +364,15 @@
             request_id, self.request_id = self.request_id, 0
             self.listener.handler.withdraw(request_id)
 
+    def gone(self) -> bool:
+        """Whether the client has closed its side, be it behind bytes that are unread: while reading rests, or
+        in a late loop, nothing else tells."""
+        if self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.fd, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def put(self, wait: Wait | None, since: float | None = None) -> None:
         """Into one of the listener's waits, or into none while a server is waited for."""
         if wait is self.wait:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -126,6 +126,11 @@
     def send(self, action: Send) -> None:
         held = self.held[action.id]
         number, held.sends = held.sends, held.sends + 1
+        if held.client.gone():
+            held.client.transport.abort()
+            self.tell(Outcome(action.id, action.server, True, Result.NOT_SENT, number, 0.0))
+            self.withdraw(action.id)
+            return
         limit = held.due - now_ms()
         if action.limit:
             limit = min(limit, action.limit)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,7 @@
     request,
     run,
     running,
+    stay_silent,
 )
 
 MANY = b"".join(request() for _ in range(100))  # more than are taken up at a time: reading rests
@@ -111,3 +112,56 @@
             assert peer.ended.empty()
 
     run(test())
+
+
+def test_nothing_more_is_sent_for_a_client_that_left_behind_a_paused_reader() -> None:
+    release = asyncio.Event()
+
+    async def test() -> None:
+        peer = await Peer(held_back(release)).start()
+        async with running(peer) as stand:
+            client = raw_client(stand)
+            client.sendall(MANY)
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            (connection,) = stand.node.listener.connections
+            assert connection.paused
+            client.close()
+            release.set()
+            await soon(lambda: not stand.node.listener.connections)
+            assert peer.requests.empty() and not stand.node.held and not stand.node.listener.open_ids
+
+    run(test())
+
+
+def test_a_client_that_leaves_behind_a_paused_reader_is_seen_by_the_sweep() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client = raw_client(stand)
+            client.sendall(MANY)
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            (connection,) = stand.node.listener.connections
+            assert connection.paused
+            client.close()
+            assert (await asyncio.wait_for(stand.outcome(), WAIT / 2)).result == Result.CANCELLED
+            await soon(lambda: not stand.node.listener.connections)
+
+    run(test())
+
+
+def test_what_a_client_left_in_the_backlog_of_the_listener_is_not_sent() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            assert (await (await stand.client()).ask(request()))[0] == 200
+            await peer.requests.get()
+            age(stand)  # a connection is at hand: nothing but its client keeps the request back
+            listener = stand.node.listener
+            listener.pause()  # as at the limit of connections
+            with raw_client(stand) as client:
+                client.sendall(request())
+            listener.resume()
+            await soon(lambda: stand.node.last_id == 2 and len(listener.connections) == 1)
+            assert peer.requests.empty() and not stand.node.held and not stand.node.pool.attempts
+
+    run(test())
