Let a failing policy or action cost its own request alone, and tell the policy it is over

Seen: by forced crossings. A policy that raises after it took a request on: the client heard 500, the request stayed in the module and a later Timer could send it. A batch whose first action failed (a Send for an id that is answered already): the actions behind it, here another request's refusal, were dropped, and that client got no answer. Lines at fault: Node.tell had one try around the whole batch and told the module nothing of its 500.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -109,20 +109,39 @@
         self.handling = True
         try:
             while self.events:
-                event = self.events.popleft()
-                try:
-                    for action in self.policy.handle(now_ms(), event):
-                        self.perform[type(action)](action)
-                except Exception:
-                    # One request must not take the node down with it; it still is owed an answer.
-                    log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
-                    if isinstance(event, Request | Outcome):
-                        self.answer(event.id, 500)
-                    elif isinstance(event, Timer):
-                        self.answer(event.token, 500)
+                for action in self.decide(self.events.popleft()):
+                    self.carry_out(action)
         finally:
             self.handling = False
 
+    def decide(self, event: Event) -> list[Action]:
+        try:
+            return self.policy.handle(now_ms(), event)
+        except Exception:
+            log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
+            if isinstance(event, Request | Outcome):
+                self.give_up(event.id)
+            elif isinstance(event, Timer):
+                self.give_up(event.token)
+            return []
+
+    def carry_out(self, action: Action) -> None:
+        """An action that fails takes none of the others with it: they may belong to other requests."""
+        try:
+            self.perform[type(action)](action)
+        except Exception:
+            log.warning("could not carry out %s", type(action).__name__, exc_info=True)
+            if isinstance(action, Send | Refuse | Fail):
+                self.give_up(action.id)
+
+    def give_up(self, request_id: int) -> None:
+        """One request must not take the node down with it. It still is owed an answer, and after that the
+        policy must not send it any more."""
+        if (held := self.held.get(request_id)) is not None:
+            self.answer(request_id, 500)
+            self.tell(Withdrawn(request_id))
+            self.pool.call_off(request_id, held.sends - 1)
+
     def send(self, action: Send) -> None:
         held = self.held[action.id]
         number, held.sends = held.sends, held.sends + 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,8 +9,13 @@
 from typing import Any
 
 from cottonhall.interface import (
+    Event,
+    Refuse,
+    Request,
     Result,
+    Send,
     Settings,
+    Timer,
     Withdrawn,
 )
 from tests.net import (
@@ -165,3 +170,43 @@
             assert peer.requests.empty() and not stand.node.held and not stand.node.pool.attempts
 
     run(test())
+
+
+def test_a_request_that_the_policy_failed_on_is_over_for_it_too() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            policy, client = stand.node.policy, await stand.client()
+            handle = policy.handle
+
+            def broken(now: float, event: Event) -> Any:
+                actions = handle(now, event)
+                if isinstance(event, Request):
+                    raise RuntimeError("broken on purpose")
+                return actions
+
+            policy.handle = broken  # type: ignore[method-assign]
+            assert (await client.ask(request()))[0] == 500
+            assert not policy.jobs
+            stand.node.tell(Timer(stand.node.last_id))
+            assert peer.requests.empty() and not stand.node.pool.attempts
+
+    run(test())
+
+
+def test_an_action_that_fails_takes_no_other_with_it() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            policy, held = stand.node.policy, stand.node.last_id
+            handle = policy.handle
+            policy.handle = lambda now, event: [Send(77, 1, 0.0), Refuse(held, 0.0)]  # type: ignore[method-assign,assignment]
+            stand.node.tell(Timer(77))
+            policy.handle = handle  # type: ignore[method-assign]
+            assert not stand.node.held
+            assert (await client.answer())[0] == 503
+
+    run(test())
