Write nothing on a connection that comes up when its attempt's time is over

Seen: by a forced crossing. A dial that completes in the one turn of the loop between an attempt's time and its end was used: the request was written to the server with Request-Timeout 1m, its client heard 502 instead of 503, and what may run once only passed for perhaps run. Checked: a dial that is cancelled as it completes, or whose server drains or moves meanwhile, writes nothing (tests that were there). Line at fault: ServerPool.connect did not look at Attempt.overdue.

--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -328,7 +328,8 @@
             self.dials -= 1
         attempt.dial = None
         # Meanwhile the server may have begun to drain or come back elsewhere: then it gets nothing.
-        if attempt.version != server.version or connection.transport.is_closing():
+        # And where the attempt's time is up its client is, too.
+        if attempt.overdue or attempt.version != server.version or connection.transport.is_closing():
             connection.transport.abort()
             self.end(attempt, Result.UNREACHABLE)
         else:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,9 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
+from badgercart import servers
 from cottonhall.interface import (
     Event,
     Refuse,
@@ -172,6 +175,26 @@
     run(test())
 
 
+def test_a_dial_that_completes_when_its_time_is_up_carries_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(servers, "LAST_LOOK", 5.0)
+
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer, aim=200.0) as stand:
+            dial = hold_dials(stand)
+            client = await stand.client()
+            client.writer.write(request("pay"))
+            await asyncio.wait_for(dial.begun.wait(), WAIT)
+            (attempt,) = stand.node.pool.attempts.values()
+            await soon(lambda: attempt.overdue)
+            dial.go.set()
+            assert (await stand.outcome()).result == Result.UNREACHABLE
+            assert (await client.answer())[0] == 503
+            assert peer.requests.empty()
+
+    run(test())
+
+
 def test_a_request_that_the_policy_failed_on_is_over_for_it_too() -> None:
     async def test() -> None:
         peer = await Peer().start()
