Let a server's connection rest for 20 ms before the next request goes out on it

Seen: by a forced crossing. A server's second answer that arrives after the next request has been written on the same connection was passed on as that request's answer: its client got another's body, which no app server made for it. The look for unread bytes before the write comes too early for it. Ruled out: telling answers apart, the protocol gives them no id. Line at fault: ServerPool.send took the connection used last, whenever that was. Tests that assumed use at once now have the idle connections stand for that long, by the clock they are held to.

--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -23,6 +23,7 @@
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # bytes of a whole answer, the framing of its body included
 MAX_INTERIM = 8  # answers 1xx ahead of the final one
 IDLE_MARGIN = 2000.0  # ms before the server's own limit: its close must not cross a request of ours
+REST = 20.0  # ms after an answer in which a second one may follow it, and pass for that to the next request
 LAST_LOOK = 0.001  # s, one turn of the loop, between an attempt's time and its end
 # A server may close what stands idle sooner than it says, unseen until the next request is reset. Where two
 # in a row that were idle for longer than SHORT_IDLE are, the limit comes down; it grows back by the sweep.
@@ -294,8 +295,7 @@
         self.attempts[request_id, number] = attempt
         server.out += 1
         attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
-        while server.idle:
-            connection = server.idle.pop()
+        while (connection := self.rested(server, now)) is not None:
             if now - connection.idle_since < self.keep_idle and connection.quiet():
                 self.counts["connections reused"] += 1
                 connection.start(attempt)
@@ -304,6 +304,13 @@
             connection.transport.abort()
         attempt.dial = self.loop.create_task(self.connect(attempt))
 
+    def rested(self, server: Server, now: float) -> ServerConnection | None:
+        """The idle connection used last, of those on which nothing more of an answer is to be feared."""
+        for at in reversed(range(len(server.idle))):
+            if now - server.idle[at].idle_since >= REST:
+                return server.idle.pop(at)
+        return None
+
     async def connect(self, attempt: Attempt) -> None:
         """Open a connection for an attempt; no byte has been sent where this fails."""
         server = attempt.server
--- a/tests/net.py
+++ b/tests/net.py
@@ -13,6 +13,7 @@
 from badgercart.clients import ClientConnection
 from badgercart.config import Config
 from badgercart.node import Node
+from badgercart.servers import REST
 from cottonhall.interface import Effect, Outcome, RequestClass, Settings
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -250,6 +251,12 @@
         for connection in self.node.listener.connections:
             yield connection
 
+    def rest(self) -> None:
+        """Have the idle connections to servers stand for long enough to be used again."""
+        for server in self.node.pool.servers.values():
+            for connection in server.idle:
+                connection.idle_since -= REST
+
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection(*self.node.listener.address))
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,7 @@
     Withdrawn,
 )
 from tests.net import (
+    OK,
     WAIT,
     Peer,
     Stand,
@@ -68,13 +69,6 @@
     return replace(config(1).settings, may_cancel=False)
 
 
-def age(stand: Stand) -> None:
-    """Let the idle connections to servers have stood for as long as it takes to use them again."""
-    for server in stand.node.pool.servers.values():
-        for connection in server.idle:
-            connection.idle_since -= 1000.0
-
-
 async def soon(true: Callable[[], bool]) -> None:
     async with asyncio.timeout(WAIT):
         while not true():
@@ -163,7 +157,7 @@
         async with running(peer) as stand:
             assert (await (await stand.client()).ask(request()))[0] == 200
             await peer.requests.get()
-            age(stand)  # a connection is at hand: nothing but its client keeps the request back
+            stand.rest()  # a connection is at hand: nothing but its client keeps the request back
             listener = stand.node.listener
             listener.pause()  # as at the limit of connections
             with raw_client(stand) as client:
@@ -195,6 +189,29 @@
     run(test())
 
 
+def test_a_late_second_answer_never_passes_for_the_next_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(servers, "now_ms", lambda: 1e6)  # no time passes: the second one still may come
+    writers: list[asyncio.StreamWriter] = []
+
+    async def twice(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        if len(writers) == 1:
+            writer.write(OK.replace(b"done", b"none"))
+            return
+        writers[0].write(OK.replace(b"done", b"none"))  # that of the request before, once more
+        await asyncio.sleep(0)
+        writer.write(OK)
+
+    async def test() -> None:
+        peer = await Peer(twice).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(request()))[2] == b"none"
+            assert (await client.ask(request()))[2] == b"done"
+
+    run(test())
+
+
 def test_a_request_that_the_policy_failed_on_is_over_for_it_too() -> None:
     async def test() -> None:
         peer = await Peer().start()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -186,6 +186,7 @@
             client = await stand.client()
             for _ in range(3):
                 await client.ask(request("book"))
+                stand.rest()
             with caplog.at_level("INFO"):
                 stand.node.report()
                 stand.node.report()  # nothing has happened since: no line
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -247,6 +247,7 @@
             else:
                 socket.socket(fileno=os.dup(sock.fileno())).shutdown(socket.SHUT_WR)
             assert not connection.quiet()
+            stand.rest()
             pool.send(77, 0, stable_id(b"s-1"), 5000.0, Message(request()[:-2], b""))
             assert connection.attempt is None and connection.transport.is_closing()
             assert (await stand.outcome()).result == Result.OK
@@ -333,6 +334,7 @@
             client = await stand.client()
             for _ in range(3):
                 assert (await client.ask(request()))[0] == 200
+                stand.rest()
             assert peer.connections == 1
 
     run(test())
@@ -408,6 +410,7 @@
             client = await stand.client()
             for _ in range(2):
                 assert (await client.ask(request()))[0] == 200
+                stand.rest()
             assert peer.connections == 2
 
     run(test())
