Close no idle connection of a client while a request lies unread in it

Seen: by forced crossings. Checked: connections in the middle of a request are left alone; a close that the client sent is read a turn later. Now each asks the kernel first; the rest of a turn, in which a close can still cross a request, is what the protocol allows for.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -197,10 +197,13 @@
             for client, since in wait.items():
                 if now - since < least:
                     break
-                if not client.transport.is_closing() and not client.transport.get_write_buffer_size():
-                    client.transport.abort()
-                    self.evicted = client
-                    return True
+                if client.transport.is_closing() or client.transport.get_write_buffer_size():
+                    continue
+                if (wait is self.silent or wait is self.idle) and client.unread():
+                    continue
+                client.transport.abort()
+                self.evicted = client
+                return True
         return False
 
     @property
@@ -217,7 +220,8 @@
     def close_idle(self) -> None:
         """What a new client is about to send is still heard."""
         for client in [*self.overdue(self.silent, self.loop.time() - GREETING), *self.idle]:
-            client.transport.close()
+            if not client.unread():
+                client.transport.close()
 
     def sweep(self) -> None:
         """End what has waited for its client for too long; one timer serves all connections."""
@@ -231,10 +235,11 @@
             client.transport.abort()
         # A client that does not read its answer has longer than one that has it, but must not stay for ever.
         told = [c for c in self.overdue(self.ending, now - LINGER) if not c.transport.get_write_buffer_size()]
+        idle = [c for c in self.overdue(self.idle, now - KEEP_ALIVE) if c.full or not c.unread()]
         for client in (
             *told,
+            *idle,
             *self.overdue(self.silent, now - REQUEST_TIME),
-            *self.overdue(self.idle, now - KEEP_ALIVE),
             *self.overdue(self.ending, now - KEEP_ALIVE),
         ):
             client.transport.abort()
@@ -367,10 +372,15 @@
     def gone(self) -> bool:
         """Whether the client has closed its side, be it behind bytes that are unread: while reading rests, or
         in a late loop, nothing else tells."""
-        if self.transport.is_closing():
-            return True
+        return self.transport.is_closing() or self.polled(select.POLLRDHUP)
+
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet: a close would take a request with it."""
+        return not self.transport.is_closing() and self.polled(select.POLLIN)
+
+    def polled(self, event: int) -> bool:
         poll = select.poll()
-        poll.register(self.fd, select.POLLRDHUP)
+        poll.register(self.fd, event)
         return bool(poll.poll(0))
 
     def put(self, wait: Wait | None, since: float | None = None) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections.abc import Callable
 from dataclasses import replace
@@ -10,7 +11,8 @@
 
 import pytest
 
-from badgercart import servers
+from badgercart import clients, servers
+from badgercart.clients import Listener
 from cottonhall.interface import (
     Event,
     Refuse,
@@ -80,6 +82,9 @@
     return socket.create_connection(stand.node.listener.address)
 
 
+# Clients that have left.
+
+
 def test_a_request_whose_client_left_during_the_dial_is_not_sent() -> None:
     async def test() -> None:
         peer = await Peer().start()
@@ -169,6 +174,9 @@
     run(test())
 
 
+# Dials.
+
+
 def test_a_dial_that_completes_when_its_time_is_up_carries_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(servers, "LAST_LOOK", 5.0)
 
@@ -189,8 +197,12 @@
     run(test())
 
 
+# Answers.
+
+
 def test_a_late_second_answer_never_passes_for_the_next_one(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(servers, "now_ms", lambda: 1e6)  # no time passes: the second one still may come
+    standing = servers.now_ms()
+    monkeypatch.setattr(servers, "now_ms", lambda: standing)  # so that the second one still may come
     writers: list[asyncio.StreamWriter] = []
 
     async def twice(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
@@ -212,6 +224,9 @@
     run(test())
 
 
+# A policy that fails.
+
+
 def test_a_request_that_the_policy_failed_on_is_over_for_it_too() -> None:
     async def test() -> None:
         peer = await Peer().start()
@@ -250,3 +265,24 @@
             assert (await client.answer())[0] == 503
 
     run(test())
+
+
+# SIGTERM.
+
+
+@pytest.mark.parametrize("close", [Listener.close_idle, Listener.make_room, Listener.sweep])
+def test_a_request_unread_on_an_idle_connection_is_served(
+    close: Callable[[Listener], Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clients, "KEEP_ALIVE", 0.0)
+
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(request()))[0] == 200
+            os.write(client.writer.get_extra_info("socket").fileno(), request())
+            close(stand.node.listener)  # before the loop reads
+            assert (await client.answer())[0] == 200
+
+    run(test())
