Take the connections that wait in the backlog before the listener stops

Seen: by a forced crossing. A client that had connected and sent its request, and waited in the kernel's backlog as the listener closed, was reset without an answer. Checked: new connections are accepted for 0.6 s after SIGTERM, longer than they keep coming, so this takes a loop that runs late or a node at its limit of connections, which rests its listener for 50 ms at a time. Line at fault: Listener.stop closed the socket without a last look. It takes what waits, up to its limit.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -128,13 +128,18 @@
         return host, port
 
     def stop(self) -> None:
-        """Take no new connections."""
+        """Take no new connections but those that wait: the close would reset them."""
         if self.socket is not None:
+            poll = select.poll()
+            poll.register(self.socket, select.POLLIN)
+            while self.accepting and poll.poll(0):
+                self.accept()
             self.pause()
             self.socket.close()
             self.socket = None
 
     def close(self) -> None:
+        self.pause()
         self.stop()
         if self.timer is not None:
             self.timer.cancel()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,6 +26,7 @@
 from tests.net import (
     OK,
     WAIT,
+    Client,
     Peer,
     Stand,
     config,
@@ -286,3 +287,16 @@
             assert (await client.answer())[0] == 200
 
     run(test())
+
+
+def test_who_waits_in_the_backlog_as_the_listener_stops_is_served() -> None:
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            stand.node.stopping = True
+            waiting = raw_client(stand)
+            waiting.sendall(request())
+            stand.node.listener.stop()
+            client = Client(*await asyncio.open_connection(sock=waiting))
+            assert (await client.answer())[0] == 200
+
+    run(test())
