Answer what comes late in a drain before the process may be killed

Seen: by a forced crossing. A request whose last byte comes after SIGTERM was held to its own deadline, up to the longest of all; SIGKILL may come 0.7 s and the longest deadline, counted as 3 s at most, after SIGTERM. Checked: what was held before SIGTERM keeps its own time, the kill excuses it; retries and dials of a drain end with the request's time; a second SIGTERM and a SIGHUP while draining change nothing (a test that was there sends one). Line at fault: Node.take knew no other end than the client's.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -47,6 +47,9 @@
 MARGIN, MARGIN_PART = 30.0, 0.1
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+# So many ms after SIGTERM, and the longest deadline, or the most that counts of it, the process may be killed:
+# what comes then, be it that only its last byte was missing, must have its answer so long before.
+KILL_AFTER, KILL_DEADLINE, KILL_MARGIN = 700.0, 3000.0, 100.0
 REPORT = 10.0  # s between lines of counters
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
@@ -77,6 +80,7 @@
         self.reporting: asyncio.TimerHandle | None = None
         self.handling = False
         self.healthy = self.stopping = False
+        self.last = math.inf  # when all that comes must have its answer
         self.listed: set[int] = set()  # servers in the list
         # A request in flight holds one on either side, but clients also keep what they have opened.
         room = max(config.sockets - SPARE_SOCKETS, 30)
@@ -186,6 +190,7 @@
         self.last_id += 1
         request_id = client.request_id = self.last_id
         due = request.sent + request.timeout - min(MARGIN, MARGIN_PART * request.timeout)
+        due = min(due, self.last)
         self.held[request_id] = Held(client, request.message, due)
         cls, key, tenant = request.cls, request.key, request.tenant
         self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat))
@@ -293,13 +298,15 @@
     async def drain(self) -> None:
         """Take what still comes, answer all that is held, then end."""
         self.stopping = True
+        longest = max(c.deadline for c in self.config.settings.classes)
+        self.last = now_ms() + min(longest, KILL_DEADLINE) + KILL_AFTER - KILL_MARGIN
         log.info("stopping: %d requests held", len(self.held))
         # A client that has been told the connection closes, or sees it close, comes back elsewhere.
         self.listener.close_idle()
         await asyncio.sleep(ACCEPT_FOR)
         self.listener.stop()
         # Who has not sent its whole request by now can't keep the node from ending.
-        end = now_ms() + max(c.deadline for c in self.config.settings.classes)
+        end = now_ms() + longest
         while self.listener.connections and now_ms() < end:
             self.listener.close_idle()
             await asyncio.sleep(DRAIN_LOOK)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from badgercart import clients, servers
+from badgercart import clients, node, servers
 from badgercart.clients import Listener
 from cottonhall.interface import (
     Event,
@@ -30,6 +30,7 @@
     Peer,
     Stand,
     config,
+    field,
     held_back,
     request,
     run,
@@ -300,3 +301,27 @@
             assert (await client.answer())[0] == 200
 
     run(test())
+
+
+def test_what_comes_late_in_a_drain_gets_its_answer_before_the_node_may_be_killed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(node, "KILL_AFTER", 0.0)
+    monkeypatch.setattr(node, "KILL_DEADLINE", 2000.0)
+
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client, data = await stand.client(), request("pay", timeout="8000m")
+            client.writer.write(data[:40])
+            await soon(lambda: bool(stand.node.listener.arriving))
+            draining = asyncio.ensure_future(stand.node.drain())
+            await soon(lambda: stand.node.stopping)
+            client.writer.write(data[40:])
+            got = await asyncio.wait_for(peer.requests.get(), WAIT)
+            left = field(got, b"Request-Timeout")
+            assert left is not None and int(left[:-1]) <= 1900
+            client.writer.close()
+            await draining
+
+    run(test())
