--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -47,8 +47,8 @@
 MARGIN, MARGIN_PART = 30.0, 0.1
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
-# So many ms after SIGTERM, and the longest deadline, or the most that counts of it, the process may be killed:
-# what comes then, be it that only its last byte was missing, must have its answer so long before.
+# The process may be killed so many ms after SIGTERM and the longest deadline, or the most that counts of it:
+# what comes in a drain, be it that only its last byte was missing, must have its answer so long before.
 KILL_AFTER, KILL_DEADLINE, KILL_MARGIN = 700.0, 3000.0, 100.0
 REPORT = 10.0  # s between lines of counters
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
