Keep the time of a dial before the end of a keyed request's window

Seen: by an injected clock. Checked: zone and cell are compared by the entry of the first send, as they must be; the first send counts from its decision, before its own dial, which errs on the safe side. Reachable where a window is shorter than a deadline. Lines at fault: Policy.allowed left one tick of room.

--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -105,6 +105,7 @@
     tick: float = 1.0
     may_cancel: bool = False
     max_attempts: int = 1
+    dial_time: float = 0.0  # what a new connection may take to come up, after which an attempt begins
     max_retry_after: float = 0.0  # 0: clients are told nothing
     full_may_have_run: bool = False  # servers answer 'full' also to work that they had begun
     cross_zone: float = 0.0  # price of a request that crosses zones
@@ -120,6 +121,7 @@
         _need(0 <= self.over_quota_worth <= 1, "over_quota_worth", self.over_quota_worth)
         _need(self.tick > 0, "tick", self.tick)
         for name in (
+            "dial_time",
             "ask_within",
             "cross_zone",
             "ramp_time",
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -415,8 +415,10 @@
         cls = self.settings.classes[job.request.cls]
         if not job.maybe_ran or cls.effect is not Effect.KEYED:
             return not job.maybe_ran or cls.effect is Effect.SAFE
+        # The last moment at which it may be written there, should a connection have to be dialled first.
+        latest = self.now + self.settings.dial_time + self.settings.tick
         return all(
-            self.now - sent < cls.window - self.settings.tick
+            latest - sent < cls.window
             and (cls.group is not Group.ZONE or entry.zone == server.entry.zone)
             and (cls.group is not Group.CELL or entry.cell == server.entry.cell)
             for sent, entry in job.maybe_ran.values()
--- a/cottonhall/wire.py
+++ b/cottonhall/wire.py
@@ -134,6 +134,7 @@
         tick=float(raw["Tick"]),
         may_cancel=bool(allowed.get("MayCancel", False)),
         max_attempts=int(allowed["MaxAttempts"]),
+        dial_time=float(allowed.get("DialTimeout", 0.0)),
         max_retry_after=float(allowed["MaxRetryAfter"]) if allowed.get("RetryAfter") else 0.0,
         full_may_have_run=bool(rules.get("ShedAfterStart", False)),
         cross_zone=float(raw.get("Prices", {}).get("CrossZone", 0.0)),
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -527,6 +527,17 @@
     assert stage.answers[number] == "refused"
 
 
+def test_a_keyed_repeat_that_a_dial_could_carry_past_its_window_is_not_sent() -> None:
+    keyed = replace(KEYED, aim=900.0, window=500.0)
+    for passed, attempts in ((250.0, 2), (350.0, 1)):
+        stage = Stage(settings(classes=(keyed,), dial_time=200.0))
+        number = stage.request()
+        stage.now += passed
+        stage.policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
+        stage.outcome(number, 0, Result.RESET, passed)
+        assert len(stage.attempts[number]) == attempts
+
+
 def test_restarted_server_starts_afresh() -> None:
     stage = Stage(settings(classes=(UNSAFE,)), servers=4)
     for _ in range(400):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -189,3 +189,9 @@
     frame = struct.pack(">IIdI", 7, 120, 1.0, 2) + EVENTS[20:68] + born + b"{no}"
     with pytest.raises(WireError, match="batch 7, byte 68: settings: not JSON"):
         Decoder().batch(frame)
+
+
+def test_the_time_of_a_dial_is_read_where_it_is_given() -> None:
+    allowed = {**SETTINGS["Allowed"], "DialTimeout": 200.0}  # type: ignore[dict-item]
+    assert read_settings(json.dumps({**SETTINGS, "Allowed": allowed}).encode()).dial_time == 200.0
+    assert read_settings(json.dumps(SETTINGS).encode()).dial_time == 0.0
