Tell zones apart that the settings do not name

Seen: by a test. Every zone outside Azs was number -1, so two of them passed for one, and a keyed request of a class grouped by zone could be repeated in another zone, where it runs twice. Line at fault: Node.read_entry.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -255,7 +255,7 @@
             raise ValueError(f"{name}: weight {size}, started at {started}")  # JSON readers let NaN through
         entry = ServerEntry(
             id=stable_id(name.encode()),
-            zone=self.config.zones.get(line.get("zone", ""), -1),
+            zone=self.zone(str(line.get("zone", ""))),
             kind=self.config.kinds.get(line.get("machineType", ""), -1),
             cell=int(line.get("cell", 0)),
             state=STATES[line["lifecycle"]],
@@ -264,6 +264,11 @@
         )
         return entry, parse_address(line["hostPort"]), name
 
+    def zone(self, name: str) -> int:
+        """Zones that the settings do not name are apart from those and from each other."""
+        number = self.config.zones.get(name)
+        return -stable_id(name.encode()) if number is None else number
+
     # Start and stop.
 
     def report(self) -> None:
