Forget a draining server that a whole list leaves out

Seen: by a test. Who drained and then was missing from a whole list (a move of discovery, a restart of it) stayed in the module for good: memory that grows by a server each time. Line at fault: Policy.on_list went through the ready ones.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -550,7 +550,7 @@
             self.ask_backoff = self.settings.ask_within / 20
         if event.kind is not ListKind.DELTA:
             listed = {entry.id for entry in event.servers}
-            for server_id in [i for i in self.ready if i not in listed]:
+            for server_id in [i for i in self.servers if i not in listed]:
                 self.note(replace(self.servers[server_id].entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -527,6 +527,13 @@
     assert stage.answers[number] == "refused"
 
 
+def test_a_draining_server_that_a_whole_list_leaves_out_is_forgotten() -> None:
+    stage = Stage(settings(), servers=4)
+    stage.list([server(3, State.DRAINING)])
+    stage.list([server(n) for n in range(3)], ListKind.FULL)
+    assert sorted(stage.policy.servers) == [0, 1, 2]
+
+
 def test_a_keyed_repeat_that_a_dial_could_carry_past_its_window_is_not_sent() -> None:
     keyed = replace(KEYED, aim=900.0, window=500.0)
     for passed, attempts in ((250.0, 2), (350.0, 1)):
