--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import re
+import select
 import socket
 from collections import deque
 from dataclasses import dataclass
@@ -127,13 +128,18 @@
         return host, port
 
     def stop(self) -> None:
-        """Take no new connections."""
+        """Take no new connections but those that wait: the close would reset them."""
         if self.socket is not None:
+            poll = select.poll()
+            poll.register(self.socket, select.POLLIN)
+            while self.accepting and poll.poll(0):
+                self.accept()
             self.pause()
             self.socket.close()
             self.socket = None
 
     def close(self) -> None:
+        self.pause()
         self.stop()
         if self.timer is not None:
             self.timer.cancel()
@@ -196,10 +202,13 @@
             for client, since in wait.items():
                 if now - since < least:
                     break
-                if not client.transport.is_closing() and not client.transport.get_write_buffer_size():
-                    client.transport.abort()
-                    self.evicted = client
-                    return True
+                if client.transport.is_closing() or client.transport.get_write_buffer_size():
+                    continue
+                if (wait is self.silent or wait is self.idle) and client.unread():
+                    continue
+                client.transport.abort()
+                self.evicted = client
+                return True
         return False
 
     @property
@@ -216,7 +225,8 @@
     def close_idle(self) -> None:
         """What a new client is about to send is still heard."""
         for client in [*self.overdue(self.silent, self.loop.time() - GREETING), *self.idle]:
-            client.transport.close()
+            if not client.unread():
+                client.transport.close()
 
     def sweep(self) -> None:
         """End what has waited for its client for too long; one timer serves all connections."""
@@ -226,12 +236,15 @@
         for client in self.overdue(self.arriving, now - REQUEST_TIME):
             client.refuse(408)
             client.next()
+        for client in [c for c in self.connections if c.paused and c.gone()]:
+            client.transport.abort()
         # A client that does not read its answer has longer than one that has it, but must not stay for ever.
         told = [c for c in self.overdue(self.ending, now - LINGER) if not c.transport.get_write_buffer_size()]
+        idle = [c for c in self.overdue(self.idle, now - KEEP_ALIVE) if c.full or not c.unread()]
         for client in (
             *told,
+            *idle,
             *self.overdue(self.silent, now - REQUEST_TIME),
-            *self.overdue(self.idle, now - KEEP_ALIVE),
             *self.overdue(self.ending, now - KEEP_ALIVE),
         ):
             client.transport.abort()
@@ -343,6 +356,7 @@
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
         self.parser = httptools.HttpRequestParser(self)
+        self.fd = transport.get_extra_info("socket").fileno()
         self.since = self.listener.loop.time()
         self.put(self.listener.silent, self.since)
 
@@ -360,6 +374,20 @@
             request_id, self.request_id = self.request_id, 0
             self.listener.handler.withdraw(request_id)
 
+    def gone(self) -> bool:
+        """Whether the client has closed its side, be it behind bytes that are unread: while reading rests, or
+        in a late loop, nothing else tells."""
+        return self.transport.is_closing() or self.polled(select.POLLRDHUP)
+
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet: a close would take a request with it."""
+        return not self.transport.is_closing() and self.polled(select.POLLIN)
+
+    def polled(self, event: int) -> bool:
+        poll = select.poll()
+        poll.register(self.fd, event)
+        return bool(poll.poll(0))
+
     def put(self, wait: Wait | None, since: float | None = None) -> None:
         """Into one of the listener's waits, or into none while a server is waited for."""
         if wait is self.wait:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -47,6 +47,9 @@
 MARGIN, MARGIN_PART = 30.0, 0.1
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+# The process may be killed so many ms after SIGTERM and the longest deadline, or the most that counts of it:
+# what comes in a drain, be it that only its last byte was missing, must have its answer so long before.
+KILL_AFTER, KILL_DEADLINE, KILL_MARGIN = 700.0, 3000.0, 100.0
 REPORT = 10.0  # s between lines of counters
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
@@ -77,6 +80,7 @@
         self.reporting: asyncio.TimerHandle | None = None
         self.handling = False
         self.healthy = self.stopping = False
+        self.last = math.inf  # when all that comes must have its answer
         self.listed: set[int] = set()  # servers in the list
         # A request in flight holds one on either side, but clients also keep what they have opened.
         room = max(config.sockets - SPARE_SOCKETS, 30)
@@ -109,23 +113,47 @@
         self.handling = True
         try:
             while self.events:
-                event = self.events.popleft()
-                try:
-                    for action in self.policy.handle(now_ms(), event):
-                        self.perform[type(action)](action)
-                except Exception:
-                    # One request must not take the node down with it; it still is owed an answer.
-                    log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
-                    if isinstance(event, Request | Outcome):
-                        self.answer(event.id, 500)
-                    elif isinstance(event, Timer):
-                        self.answer(event.token, 500)
+                for action in self.decide(self.events.popleft()):
+                    self.carry_out(action)
         finally:
             self.handling = False
 
+    def decide(self, event: Event) -> list[Action]:
+        try:
+            return self.policy.handle(now_ms(), event)
+        except Exception:
+            log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
+            if isinstance(event, Request | Outcome):
+                self.give_up(event.id)
+            elif isinstance(event, Timer):
+                self.give_up(event.token)
+            return []
+
+    def carry_out(self, action: Action) -> None:
+        """An action that fails takes none of the others with it: they may belong to other requests."""
+        try:
+            self.perform[type(action)](action)
+        except Exception:
+            log.warning("could not carry out %s", type(action).__name__, exc_info=True)
+            if isinstance(action, Send | Refuse | Fail):
+                self.give_up(action.id)
+
+    def give_up(self, request_id: int) -> None:
+        """One request must not take the node down with it. It still is owed an answer, and after that the
+        policy must not send it any more."""
+        if (held := self.held.get(request_id)) is not None:
+            self.answer(request_id, 500)
+            self.tell(Withdrawn(request_id))
+            self.pool.call_off(request_id, held.sends - 1)
+
     def send(self, action: Send) -> None:
         held = self.held[action.id]
         number, held.sends = held.sends, held.sends + 1
+        if held.client.gone():
+            held.client.transport.abort()
+            self.tell(Outcome(action.id, action.server, True, Result.NOT_SENT, number, 0.0))
+            self.withdraw(action.id)
+            return
         limit = held.due - now_ms()
         if action.limit:
             limit = min(limit, action.limit)
@@ -162,14 +190,16 @@
         self.last_id += 1
         request_id = client.request_id = self.last_id
         due = request.sent + request.timeout - min(MARGIN, MARGIN_PART * request.timeout)
+        due = min(due, self.last)
         self.held[request_id] = Held(client, request.message, due)
         cls, key, tenant = request.cls, request.key, request.tenant
         self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat))
 
     def withdraw(self, request_id: int) -> None:
-        if self.held.pop(request_id, None) is not None:
+        if (held := self.held.pop(request_id, None)) is not None:
             self.counts["withdrawn"] += 1
             self.tell(Withdrawn(request_id))
+            self.pool.call_off(request_id, held.sends - 1)
 
     # From servers.
 
@@ -225,7 +255,7 @@
             raise ValueError(f"{name}: weight {size}, started at {started}")  # JSON readers let NaN through
         entry = ServerEntry(
             id=stable_id(name.encode()),
-            zone=self.config.zones.get(line.get("zone", ""), -1),
+            zone=self.zone(str(line.get("zone", ""))),
             kind=self.config.kinds.get(line.get("machineType", ""), -1),
             cell=int(line.get("cell", 0)),
             state=STATES[line["lifecycle"]],
@@ -234,6 +264,11 @@
         )
         return entry, parse_address(line["hostPort"]), name
 
+    def zone(self, name: str) -> int:
+        """Zones that the settings do not name are apart from those and from each other."""
+        number = self.config.zones.get(name)
+        return -stable_id(name.encode()) if number is None else number
+
     # Start and stop.
 
     def report(self) -> None:
@@ -268,13 +303,15 @@
     async def drain(self) -> None:
         """Take what still comes, answer all that is held, then end."""
         self.stopping = True
+        longest = max(c.deadline for c in self.config.settings.classes)
+        self.last = now_ms() + min(longest, KILL_DEADLINE) + KILL_AFTER - KILL_MARGIN
         log.info("stopping: %d requests held", len(self.held))
         # A client that has been told the connection closes, or sees it close, comes back elsewhere.
         self.listener.close_idle()
         await asyncio.sleep(ACCEPT_FOR)
         self.listener.stop()
         # Who has not sent its whole request by now can't keep the node from ending.
-        end = now_ms() + max(c.deadline for c in self.config.settings.classes)
+        end = now_ms() + longest
         while self.listener.connections and now_ms() < end:
             self.listener.close_idle()
             await asyncio.sleep(DRAIN_LOOK)
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -415,8 +415,10 @@
         cls = self.settings.classes[job.request.cls]
         if not job.maybe_ran or cls.effect is not Effect.KEYED:
             return not job.maybe_ran or cls.effect is Effect.SAFE
+        # The last moment at which it may be written there, should a connection have to be dialled first.
+        latest = self.now + self.settings.dial_time + self.settings.tick
         return all(
-            self.now - sent < cls.window - self.settings.tick
+            latest - sent < cls.window
             and (cls.group is not Group.ZONE or entry.zone == server.entry.zone)
             and (cls.group is not Group.CELL or entry.cell == server.entry.cell)
             for sent, entry in job.maybe_ran.values()
@@ -548,7 +550,7 @@
             self.ask_backoff = self.settings.ask_within / 20
         if event.kind is not ListKind.DELTA:
             listed = {entry.id for entry in event.servers}
-            for server_id in [i for i in self.ready if i not in listed]:
+            for server_id in [i for i in self.servers if i not in listed]:
                 self.note(replace(self.servers[server_id].entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
