Give up a list that drips in and a watch that never ends a line

Discovery that sends a byte now and then, and never ends its whole list or the line of a watch, was listened to for ever: the node kept its old list while changes counted as told. Lines at fault: Body.more's patience began anew with each part. A whole list now has 3 s in all, as a change counts as told 4 s after SIGHUP; on a watch only a whole line, also an empty one, counts as heard.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -18,6 +18,7 @@
 # watch that has said nothing for this long, in s, is opened anew in time to hear of it.
 SILENCE = 4.5
 CALL_TIME = 1.5  # s for a connection to come up, and for each part of a whole list
+LIST_TIME = 3.0  # s for all of it: after SIGHUP a change counts as told within 4 s
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
 MAX_LINE = 8 << 20  # bytes
 
@@ -108,14 +109,17 @@
             reader, writer = await asyncio.open_connection(host, port)
         try:
             writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            body = Body()
+            body, clock = Body(), asyncio.get_running_loop().time
+            # Only what is whole shows that the other side is well, not each byte that drips from it.
+            end = clock() + (LIST_TIME if whole else SILENCE)
             while not body.complete:
-                await body.more(reader, CALL_TIME if whole else SILENCE)
+                await body.more(reader, min(CALL_TIME if whole else SILENCE, end - clock()))
                 if not whole:
                     *lines, rest = body.data.split(b"\n")
                     body.data = rest
                     for line in lines:
                         self.take(bytes(line))
+                        end = clock() + SILENCE
             if whole or body.data:
                 self.take(bytes(body.data))
             if not whole:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 from cottonhall.interface import State
 from tests.net import (
     WAIT,
+    Agent,
     Peer,
     request,
     run,
@@ -71,3 +72,28 @@
             assert stand.node.healthy and not stand.node.pool.servers.keys() - stand.node.listed
 
     run(test())
+
+
+@pytest.mark.parametrize("known", [None, {}], ids=["watch", "whole"])
+def test_a_list_that_drips_and_never_ends_is_given_up(
+    known: dict[str, object] | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 0.2)
+    monkeypatch.setattr(discovery, "LIST_TIME", 0.2)
+
+    async def drip(self: Agent, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.calls.put_nowait((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode())
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while not writer.transport.is_closing():
+            writer.write(b"1\r\n \r\n")
+            await asyncio.sleep(0.01)
+
+    monkeypatch.setattr(Agent, "serve", drip)
+
+    async def test() -> None:
+        changes = {} if known is None else {"known": known}
+        async with running(await Peer().start(), **changes) as stand:
+            first = await asyncio.wait_for(stand.agent.calls.get(), WAIT)
+            assert await asyncio.wait_for(stand.agent.calls.get(), WAIT) == first
+
+    run(test())
