Call a lost discovery well within the drain grace where lists are pushed

While discovery is down the node came back to it every 0.5 to 1.5 s, whatever the grace. Checked: where lists are asked for, a change counts when it is written, and the waits stay as they are. Line at fault: RETRY_MOST, a constant for what the settings say (Obligations.DrainGrace, which was not read).

--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -31,6 +31,7 @@
     tenants: dict[bytes, int]
     kinds: dict[str, int]
     zones: dict[str, int]
+    drain_grace: float  # ms in which sends to a server must stop once it is told that it drains
     dial_timeout: float  # ms
     idle_timeout: float  # ms after which a server closes a connection that carries nothing
 
@@ -63,6 +64,7 @@
             tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
             kinds={name: i for i, name in enumerate(settings.get("Kinds", ()))},
             zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
+            drain_grace=float(settings["Obligations"]["DrainGrace"]),
             dial_timeout=float(allowed["DialTimeout"]),
             idle_timeout=float(allowed["ConnIdle"]),
         )
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -20,6 +20,9 @@
 CALL_TIME = 1.5  # s for a connection to come up, and for each part of a whole list
 LIST_TIME = 3.0  # s for all of it: after SIGHUP a change counts as told within 4 s
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
+# Where lists are pushed, what discovery has at its return counts as told at once: the longest time between
+# two tries, half as long again by chance, must leave more than half of the grace for the call.
+RETRY_GRACE = 0.25
 MAX_LINE = 8 << 20  # bytes
 
 log = logging.getLogger("badgercart")
@@ -59,13 +62,17 @@
     """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
 
     def __init__(
-        self, address: Address, on_list: Callable[[dict[str, Any]], int], rng: random.Random
+        self,
+        address: Address,
+        on_list: Callable[[dict[str, Any]], int],
+        rng: random.Random,
+        retry_most: float = RETRY_MOST,
     ) -> None:
         self.address = address
         self.on_list = on_list
         self.random = rng
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
-        self.retry = RETRY_FIRST
+        self.retry, self.retry_most = RETRY_FIRST, retry_most
         self.failing = False
         self.task: asyncio.Task[None] | None = None
 
@@ -101,7 +108,7 @@
                 self.version = None
             # Nodes that lost discovery together must not come back together.
             await asyncio.sleep(self.retry * (0.5 + self.random.random()))
-            self.retry = min(2 * self.retry, RETRY_MOST)
+            self.retry = min(2 * self.retry, self.retry_most)
 
     async def call(self, path: str, whole: bool) -> None:
         host, port = self.address
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -18,7 +18,7 @@
 
 from badgercart.clients import ClientConnection, ClientRequest, Listener, stable_id
 from badgercart.config import Address, Config, ConfigError, parse_address, reread_discovery
-from badgercart.discovery import Discovery
+from badgercart.discovery import RETRY_GRACE, RETRY_MOST, Discovery
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
 from cottonhall import Policy
 from cottonhall.interface import (
@@ -87,7 +87,10 @@
         servers = room * 3 // 8
         self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, self.attempt_ended)
         self.listener = Listener(loop, config, self, room - servers)
-        self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
+        pushed = not config.settings.ask_for_list
+        retry_most = min(RETRY_MOST, RETRY_GRACE * config.drain_grace / 1000) if pushed else RETRY_MOST
+        rng = random.Random(config.seed)
+        self.discovery = Discovery(config.discovery, self.take_list, rng, retry_most)
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
             Refuse: self.refuse,
--- a/tests/net.py
+++ b/tests/net.py
@@ -210,6 +210,7 @@
         "tenants": {},
         "kinds": {"m": 0},
         "zones": {"a": 0},
+        "drain_grace": 1000.0,
         "dial_timeout": 5000.0,
         "idle_timeout": 15000.0,
     }
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -13,6 +14,7 @@
     WAIT,
     Agent,
     Peer,
+    config,
     request,
     run,
     running,
@@ -97,3 +99,31 @@
             assert await asyncio.wait_for(stand.agent.calls.get(), WAIT) == first
 
     run(test())
+
+
+@pytest.mark.parametrize(("ask", "most"), [(False, 0.2), (True, 1.5)])
+def test_where_lists_are_pushed_a_lost_discovery_is_called_well_within_the_grace(
+    ask: bool, most: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    slept: list[float] = []
+    sleep = asyncio.sleep
+
+    async def at_once(delay: float) -> None:
+        slept.append(delay)
+        await sleep(0)
+
+    monkeypatch.setattr(discovery.asyncio, "sleep", at_once)
+
+    async def test() -> None:
+        peer = await Peer().start()
+        settings = replace(config(1).settings, ask_for_list=ask)
+        async with running(peer, settings=settings, drain_grace=500.0) as stand:
+            await asyncio.wait_for(stand.agent.calls.get(), WAIT)
+            stand.agent.server.close()  # no new calls
+            stand.agent.lines.put_nowait(None)  # and the watch ends
+            async with asyncio.timeout(WAIT):
+                while len(slept) < 40:
+                    await sleep(0)
+        assert most / 2 < max(slept) <= most
+
+    run(test())
