Keep the node from ending while it owes an answer

Seen: by a forced crossing. The node ended by itself 0.6 s and the longest deadline after SIGTERM; a request whose last byte came in the drain could be held past that, or to that very moment, and was lost with the process. Checked: the time that SIGKILL leaves is no shorter than this end; connections that hold no whole request still can't keep the node. Line at fault: the end in Node.drain, which knew nothing of the times that requests of the drain are held to.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -320,7 +320,8 @@
         await asyncio.sleep(ACCEPT_FOR)
         self.listener.stop()
         # Who has not sent its whole request by now can't keep the node from ending.
-        end = now_ms() + longest
+        # What has come by then is answered at its time, with a margin, before the node ends of itself.
+        end = self.last + KILL_MARGIN + max(longest - KILL_DEADLINE, 0.0)
         while self.listener.connections and now_ms() < end:
             self.listener.close_idle()
             await asyncio.sleep(DRAIN_LOOK)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -348,3 +348,25 @@
             assert [type(event) for event in told] == [Request, Outcome, Request]
 
     run(test())
+
+
+def test_the_node_does_not_end_while_it_owes_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node, "ACCEPT_FOR", 0.05)
+
+    async def test() -> None:
+        settings = config(1).settings
+        classes = tuple(replace(c, aim=1500.0, deadline=2000.0) for c in settings.classes)
+        peer = await Peer(stay_silent).start()
+        async with running(peer, settings=replace(settings, classes=classes)) as stand:
+            client, data = await stand.client(), request("pay", timeout="2000m")
+            client.writer.write(data[:40])
+            await soon(lambda: bool(stand.node.listener.arriving))
+            draining = asyncio.ensure_future(stand.node.drain())
+            await asyncio.sleep(1.0)  # then half of the drain is left, and the request takes longer than that
+            client.writer.write(data[40:])
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            await draining
+            assert not stand.node.held
+            assert (await client.answer())[0] == 502
+
+    run(test())
