--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -100,7 +100,7 @@
                 await self.call(f"{PATH}?watch=1&from={self.version}", whole=False)
             except (OSError, DiscoveryError, httptools.HttpParserError) as error:
                 if not self.failing:  # one line for each stretch of failures
-                    log.warning("discovery: %s; the list stays as it is", error or type(error).__name__)
+                    log.warning("discovery: %s; the list stays as it is", str(error) or type(error).__name__)
                 self.failing = True
             except Exception:
                 # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -65,7 +65,9 @@
     run(test())
 
 
-def test_a_watch_that_falls_silent_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_watch_that_falls_silent_is_opened_again(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     monkeypatch.setattr(discovery, "SILENCE", 0.05)
 
     async def test() -> None:
@@ -76,6 +78,7 @@
             assert stand.node.healthy and not stand.node.pool.servers.keys() - stand.node.listed
 
     run(test())
+    assert "discovery: TimeoutError; the list stays as it is" in caplog.text
 
 
 @pytest.mark.parametrize("known", [None, {}], ids=["watch", "whole"])
