--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -18,7 +18,11 @@
 # watch that has said nothing for this long, in s, is opened anew in time to hear of it.
 SILENCE = 4.5
 CALL_TIME = 1.5  # s for a connection to come up, and for each part of a whole list
+LIST_TIME = 3.0  # s for all of it: after SIGHUP a change counts as told within 4 s
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
+# Where lists are pushed, what discovery has at its return counts as told at once: the longest time between
+# two tries, half as long again by chance, must leave more than half of the grace for the call.
+RETRY_GRACE = 0.25
 MAX_LINE = 8 << 20  # bytes
 
 log = logging.getLogger("badgercart")
@@ -58,13 +62,17 @@
     """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
 
     def __init__(
-        self, address: Address, on_list: Callable[[dict[str, Any]], int], rng: random.Random
+        self,
+        address: Address,
+        on_list: Callable[[dict[str, Any]], int],
+        rng: random.Random,
+        retry_most: float = RETRY_MOST,
     ) -> None:
         self.address = address
         self.on_list = on_list
         self.random = rng
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
-        self.retry = RETRY_FIRST
+        self.retry, self.retry_most = RETRY_FIRST, retry_most
         self.failing = False
         self.task: asyncio.Task[None] | None = None
 
@@ -100,7 +108,7 @@
                 self.version = None
             # Nodes that lost discovery together must not come back together.
             await asyncio.sleep(self.retry * (0.5 + self.random.random()))
-            self.retry = min(2 * self.retry, RETRY_MOST)
+            self.retry = min(2 * self.retry, self.retry_most)
 
     async def call(self, path: str, whole: bool) -> None:
         host, port = self.address
@@ -108,14 +116,17 @@
             reader, writer = await asyncio.open_connection(host, port)
         try:
             writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            body = Body()
+            body, clock = Body(), asyncio.get_running_loop().time
+            # Only what is whole shows that the other side is well, not each byte that drips from it.
+            end = clock() + (LIST_TIME if whole else SILENCE)
             while not body.complete:
-                await body.more(reader, CALL_TIME if whole else SILENCE)
+                await body.more(reader, min(CALL_TIME if whole else SILENCE, end - clock()))
                 if not whole:
                     *lines, rest = body.data.split(b"\n")
                     body.data = rest
                     for line in lines:
                         self.take(bytes(line))
+                        end = clock() + SILENCE
             if whole or body.data:
                 self.take(bytes(body.data))
             if not whole:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -18,7 +18,7 @@
 
 from badgercart.clients import ClientConnection, ClientRequest, Listener, stable_id
 from badgercart.config import Address, Config, ConfigError, parse_address, reread_discovery
-from badgercart.discovery import Discovery
+from badgercart.discovery import RETRY_GRACE, RETRY_MOST, Discovery
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
 from cottonhall import Policy
 from cottonhall.interface import (
@@ -47,8 +47,8 @@
 MARGIN, MARGIN_PART = 30.0, 0.1
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
-# So many ms after SIGTERM, and the longest deadline, or the most that counts of it, the process may be killed:
-# what comes then, be it that only its last byte was missing, must have its answer so long before.
+# The process may be killed so many ms after SIGTERM and the longest deadline, or the most that counts of it:
+# what comes in a drain, be it that only its last byte was missing, must have its answer so long before.
 KILL_AFTER, KILL_DEADLINE, KILL_MARGIN = 700.0, 3000.0, 100.0
 REPORT = 10.0  # s between lines of counters
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
@@ -87,7 +87,10 @@
         servers = room * 3 // 8
         self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, self.attempt_ended)
         self.listener = Listener(loop, config, self, room - servers)
-        self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
+        pushed = not config.settings.ask_for_list
+        retry_most = min(RETRY_MOST, RETRY_GRACE * config.drain_grace / 1000) if pushed else RETRY_MOST
+        rng = random.Random(config.seed)
+        self.discovery = Discovery(config.discovery, self.take_list, rng, retry_most)
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
             Refuse: self.refuse,
@@ -255,7 +258,7 @@
             raise ValueError(f"{name}: weight {size}, started at {started}")  # JSON readers let NaN through
         entry = ServerEntry(
             id=stable_id(name.encode()),
-            zone=self.config.zones.get(line.get("zone", ""), -1),
+            zone=self.zone(str(line.get("zone", ""))),
             kind=self.config.kinds.get(line.get("machineType", ""), -1),
             cell=int(line.get("cell", 0)),
             state=STATES[line["lifecycle"]],
@@ -264,6 +267,11 @@
         )
         return entry, parse_address(line["hostPort"]), name
 
+    def zone(self, name: str) -> int:
+        """Zones that the settings do not name are apart from those and from each other."""
+        number = self.config.zones.get(name)
+        return -stable_id(name.encode()) if number is None else number
+
     # Start and stop.
 
     def report(self) -> None:
