Write nothing on a dial whose client left behind a paused reader meanwhile

Looked at and sound already: a key's turn, a timer and a resend (Node.send asks the kernel), a client that is read (its end calls the dial off). connect now asks the node, which asks the kernel.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -85,7 +85,9 @@
         # A request in flight holds one on either side, but clients also keep what they have opened.
         room = max(config.sockets - SPARE_SOCKETS, 30)
         servers = room * 3 // 8
-        self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, self.attempt_ended)
+        self.pool = ServerPool(
+            loop, config.dial_timeout, config.idle_timeout, servers, self.attempt_ended, self.wanted
+        )
         self.listener = Listener(loop, config, self, room - servers)
         pushed = not config.settings.ask_for_list
         retry_most = min(RETRY_MOST, RETRY_GRACE * config.drain_grace / 1000) if pushed else RETRY_MOST
@@ -156,9 +158,8 @@
         held = self.held[action.id]
         number, held.sends = held.sends, held.sends + 1
         if held.client.gone():
-            held.client.transport.abort()
             self.tell(Outcome(action.id, action.server, True, Result.NOT_SENT, number, 0.0))
-            self.withdraw(action.id)
+            self.leave(action.id, held.client)
             return
         limit = held.due - now_ms()
         if action.limit:
@@ -207,8 +208,22 @@
             self.tell(Withdrawn(request_id))
             self.pool.call_off(request_id, held.sends - 1)
 
+    def leave(self, request_id: int, client: ClientConnection) -> None:
+        """Its client has closed, seen before the loop reads it."""
+        client.transport.abort()
+        self.withdraw(request_id)
+
     # From servers.
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether an attempt whose connection has come up may still be written."""
+        held = self.held.get(attempt.request_id)
+        if held is not None and held.client.gone():
+            # A close behind a paused reader is seen by the sweep, after more than a client may be gone.
+            self.leave(attempt.request_id, held.client)
+            return False
+        return True
+
     def attempt_ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
         request_id = attempt.request_id
         self.counts[f"attempts {result.name.lower()}"] += 1
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -254,6 +254,7 @@
         idle_timeout: float,
         max_connections: int,
         on_end: Callable[[Attempt, Result, Answer | None], None],
+        wanted: Callable[[Attempt], bool],
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
@@ -261,6 +262,7 @@
         self.stale = 0  # connections in a row that were dead after standing idle
         self.max_connections = max_connections
         self.on_end = on_end
+        self.wanted = wanted  # whether the client still waits: a dial takes longer than it may be gone
         self.servers: dict[int, Server] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[ServerConnection] = set()
@@ -339,6 +341,8 @@
         if attempt.overdue or attempt.version != server.version or connection.transport.is_closing():
             connection.transport.abort()
             self.end(attempt, Result.UNREACHABLE)
+        elif not self.wanted(attempt):
+            connection.transport.abort()  # its owner has called it off, and it has ended with that
         else:
             # Counted from here, not from connection_made: a dial that is cancelled just as it comes up is
             # closed by uvloop without connection_lost, and would count against the limit for ever.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -106,6 +106,29 @@
     run(test())
 
 
+def test_nothing_is_sent_when_the_client_left_behind_a_paused_reader_as_the_dial_came_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clients, "SWEEP", 60.0)  # it would see the close, up to 0.2 s later
+
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer, settings=no_cancel()) as stand:
+            dial = hold_dials(stand)
+            client = raw_client(stand)
+            client.sendall(MANY)
+            await asyncio.wait_for(dial.begun.wait(), WAIT)
+            (connection,) = stand.node.listener.connections
+            assert connection.paused
+            client.close()
+            dial.go.set()
+            assert (await stand.outcome()).result == Result.NOT_SENT
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+            assert peer.requests.empty() and not stand.node.pool.attempts and not stand.node.held
+
+    run(test())
+
+
 def test_an_attempt_that_is_out_is_left_alone_where_none_may_be_cancelled() -> None:
     release = asyncio.Event()
 
