Give up a silent or unanswered call to discovery while the next has its turn

A change counts as told 6 s after discovery had it and could be reached. By count of the node's own waits a watch that is taken and never answered took 4.5 s, the wait after it up to 1.5 s, and the next call its turn of up to 2 s: 8 s; a watch that fell silent 4.5 + 0.1 + 2 s; and a whole list was given up after 1.5 s, before its turn of 2 s was over, to wait anew at the end. Now silence is found after 3.2 s, an answer has 2.5 s to begin, and the wait is 0.75 s at most: 5.3, 4.3, 5.3 and (a whole list that drips) 5.8 s with the turn. The test of the longest wait had 1.5 s, the maximum before, and holds the new one, 0.75 s.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -14,14 +14,19 @@
 from badgercart.config import Address
 
 PATH = "/catalog/members"
-# An empty line is due every 2 s, and a change counts as told after 6 s, also one that never arrived: a
-# watch that has said nothing for this long, in s, is opened anew in time to hear of it.
-SILENCE = 4.5
-CALL_TIME = 1.5  # s for a connection to come up, and for each part of a whole list
+# A change counts as told TOLD s after discovery had it and could be reached, whatever came before: a silent
+# watch, a dial that hung, a call that was taken and never answered. Each must be given up, and the wait
+# before the next call be over, while that call can still wait for its TURN.
+TOLD, TURN = 6.0, 2.0  # s; callers wait in turn, and those that have waited for longer fail
+SILENCE = 3.2  # s without a whole line on an open watch, on which one is due every 2 s
+DIAL_TIME = 1.5  # s for a connection to come up
+FIRST_BYTE = 2.5  # s for an answer to begin: who gives its turn up sooner waits for it anew, at the end
+PART_TIME = 1.5  # s for each further part of a whole list
 LIST_TIME = 3.0  # s for all of it: after SIGHUP a change counts as told within 4 s
-RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
+RETRY_FIRST, RETRY_MOST = 0.05, 0.5  # s between tries, before chance
+JITTER = (0.5, 1.5)  # of that: nodes that lost discovery together must not come back together
 # Where lists are pushed, what discovery has at its return counts as told at once: the longest time between
-# two tries, half as long again by chance, must leave more than half of the grace for the call.
+# two tries, by chance the longer, must leave more than half of the grace for the call.
 RETRY_GRACE = 0.25
 MAX_LINE = 8 << 20  # bytes
 
@@ -106,21 +111,21 @@
                 # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
                 log.exception("discovery: unforeseen failure; the whole list is fetched")
                 self.version = None
-            # Nodes that lost discovery together must not come back together.
-            await asyncio.sleep(self.retry * (0.5 + self.random.random()))
+            await asyncio.sleep(self.retry * self.random.uniform(*JITTER))
             self.retry = min(2 * self.retry, self.retry_most)
 
     async def call(self, path: str, whole: bool) -> None:
         host, port = self.address
-        async with asyncio.timeout(CALL_TIME):
+        async with asyncio.timeout(DIAL_TIME):
             reader, writer = await asyncio.open_connection(host, port)
         try:
             writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
             body, clock = Body(), asyncio.get_running_loop().time
             # Only what is whole shows that the other side is well, not each byte that drips from it.
-            end = clock() + (LIST_TIME if whole else SILENCE)
+            end, patience = clock() + (LIST_TIME if whole else SILENCE), FIRST_BYTE
             while not body.complete:
-                await body.more(reader, min(CALL_TIME if whole else SILENCE, end - clock()))
+                await body.more(reader, min(patience, end - clock()))
+                patience = PART_TIME if whole else SILENCE
                 if not whole:
                     *lines, rest = body.data.split(b"\n")
                     body.data = rest
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -106,7 +106,7 @@
     run(test())
 
 
-@pytest.mark.parametrize(("ask", "most"), [(False, 0.2), (True, 1.5)])
+@pytest.mark.parametrize(("ask", "most"), [(False, 0.2), (True, 0.75)])
 def test_where_lists_are_pushed_a_lost_discovery_is_called_well_within_the_grace(
     ask: bool, most: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -134,6 +134,35 @@
     run(test())
 
 
+@pytest.mark.parametrize("found", ["SILENCE", "DIAL_TIME", "FIRST_BYTE", "LIST_TIME"])
+def test_however_a_call_was_lost_the_next_has_its_turn_before_a_change_counts_as_told(found: str) -> None:
+    first = found == "SILENCE"  # a watch that spoke: calls went well, and the wait is the shortest
+    retry = discovery.RETRY_FIRST if first else discovery.RETRY_MOST
+    wait = retry * max(discovery.JITTER)
+    assert getattr(discovery, found) + wait + discovery.TURN <= discovery.TOLD
+    assert discovery.TURN < discovery.FIRST_BYTE
+
+
+def test_a_watch_that_is_taken_and_never_answered_is_given_up_sooner_than_one_that_fell_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery, "FIRST_BYTE", 0.05)
+    monkeypatch.setattr(discovery, "SILENCE", 4 * WAIT)
+
+    async def swallow(self: Agent, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.calls.put_nowait((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode())
+        await reader.read()
+
+    monkeypatch.setattr(Agent, "serve", swallow)
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            for _ in range(3):
+                assert "watch" in await asyncio.wait_for(stand.agent.calls.get(), WAIT)
+
+    run(test())
+
+
 def test_a_line_of_the_old_watch_that_lies_unread_at_a_move_is_not_taken(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
