Send only to servers that served lately while the list is lost

By logs of each call: discovery turned away 200 calls in 5 s (503 after 2 s in its turn, or at once); of 60 nodes 24 to 26 had a list after 13 s, none came through from 16.9 s to the end. Senders were restarted nodes on their known list, of up to 3 s before, and servers that had served their request 2 s after the list called them draining. Ruled out: watches taken for silent (none), more frequent calls (as many breaks), the loop being late. Cause: rules.py usable() trusts the last list however long discovery has said nothing. Now Discovery tells when the last word came, and past 6 s and the grace from then only servers are used that served a request sent within that time, and have turned none away since. After 30 s all are trusted again: then it is down.

--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +12,9 @@
 from cottonhall.wire import WireError, read_settings
 
 Address = tuple[str, int]
+# s after discovery had a change, and could be reached, in which it counts as told, whether or not it arrived.
+TOLD = 6.0
+LATE = 100.0  # ms by which the loop may be late
 
 
 class ConfigError(Exception):
@@ -51,7 +54,7 @@
     try:
         raw = json.loads(Path(path).read_bytes())
         settings = raw["settings"]
-        allowed = settings["Allowed"]
+        allowed, drain_grace = settings["Allowed"], float(settings["Obligations"]["DrainGrace"])
         return Config(
             name=str(environ.get("ROUTER_NAME") or raw["name"]),
             listen=parse_address(environ.get("ROUTER_LISTEN") or raw["listen"]),
@@ -59,12 +62,12 @@
             seed=int(raw["seed"], 16),
             sockets=int(raw["limits"]["sockets"]),
             known=dict(raw.get("known") or {}),
-            settings=read_settings(json.dumps(settings).encode()),
+            settings=vouching(read_settings(json.dumps(settings).encode()), drain_grace),
             classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
             tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
             kinds={name: i for i, name in enumerate(settings.get("Kinds", ()))},
             zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
-            drain_grace=float(settings["Obligations"]["DrainGrace"]),
+            drain_grace=drain_grace,
             dial_timeout=float(allowed["DialTimeout"]),
             idle_timeout=float(allowed["ConnIdle"]),
         )
@@ -76,6 +79,13 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def vouching(settings: Settings, drain_grace: float) -> Settings:
+    """With how long a server may get requests after the last word of a list that is asked for. Where it is
+    pushed nothing counts as told while discovery is down, and all of it at once when it is back."""
+    most = TOLD * 1000 + drain_grace - LATE
+    return replace(settings, vouched_for=most) if settings.ask_for_list else settings
+
+
 def reread_discovery(environ: Mapping[str, str]) -> Address:
     """Discovery as the file has it now, whatever ROUTER_DISCOVERY said; the rest must be sound too."""
     return read_config({k: v for k, v in environ.items() if k != "ROUTER_DISCOVERY"}).discovery
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -11,18 +11,20 @@
 
 import httptools
 
-from badgercart.config import Address
+from badgercart.config import TOLD, Address
+from badgercart.servers import now_ms
 
 PATH = "/catalog/members"
-# A change counts as told TOLD s after discovery had it and could be reached, whatever came before: a silent
-# watch, a dial that hung, a call that was taken and never answered. Each must be given up, and the wait
-# before the next call be over, while that call can still wait for its TURN.
-TOLD, TURN = 6.0, 2.0  # s; callers wait in turn, and those that have waited for longer fail
+# A change counts as told after TOLD s, whatever came before: a silent watch, a dial that hung, a call that
+# was taken and never answered. Each must be given up, and the wait before the next call be over, while that
+# call can still wait for its turn.
+TURN = 2.0  # s; callers that have waited for longer fail
 SILENCE = 3.2  # s without a whole line on an open watch, on which one is due every 2 s
 DIAL_TIME = 1.5  # s for a connection to come up
 FIRST_BYTE = 2.5  # s for an answer to begin: who gives its turn up sooner waits for it anew, at the end
 PART_TIME = 1.5  # s for each further part of a whole list
-LIST_TIME = 3.0  # s for all of it: after SIGHUP a change counts as told within 4 s
+LIST_TIME = 3.0  # s for all of it
+MOVED = 4.0  # s after SIGHUP in which a change at the new address counts as told
 RETRY_FIRST, RETRY_MOST = 0.05, 0.5  # s between tries, before chance
 JITTER = (0.5, 1.5)  # of that: nodes that lost discovery together must not come back together
 # Where lists are pushed, what discovery has at its return counts as told at once: the longest time between
@@ -64,17 +66,21 @@
 
 
 class Discovery:
-    """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
+    """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take.
+
+    `on_lost` gets the time in ms of the last word, once, when no more is heard, and None when it is again."""
 
     def __init__(
         self,
         address: Address,
         on_list: Callable[[dict[str, Any]], int],
         rng: random.Random,
+        on_lost: Callable[[float | None], None],
         retry_most: float = RETRY_MOST,
     ) -> None:
         self.address = address
-        self.on_list = on_list
+        self.on_list, self.on_lost = on_list, on_lost
+        self.heard = now_ms()  # the last word
         self.random = rng
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
         self.retry, self.retry_most = RETRY_FIRST, retry_most
@@ -94,6 +100,7 @@
             return  # asked again and again, it must not begin again and again
         self.close()
         self.address, self.version = address, None
+        self.heard = min(self.heard, now_ms() - (TOLD - MOVED) * 1000)
         self.retry, self.failing = RETRY_FIRST, False
         self.start()
 
@@ -106,6 +113,7 @@
             except (OSError, DiscoveryError, httptools.HttpParserError) as error:
                 if not self.failing:  # one line for each stretch of failures
                     log.warning("discovery: %s; the list stays as it is", str(error) or type(error).__name__)
+                    self.on_lost(self.heard)
                 self.failing = True
             except Exception:
                 # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
@@ -143,7 +151,9 @@
         try:
             if line.strip():
                 self.version = self.on_list(json.loads(line))
-            self.retry, self.failing = RETRY_FIRST, False
+            if self.failing:
+                self.on_lost(None)
+            self.heard, self.retry, self.failing = now_ms(), RETRY_FIRST, False
         except (ValueError, RecursionError) as error:
             # A change may have been missed with it: only the whole list brings it back.
             self.version = None
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -50,6 +50,7 @@
 # The process may be killed so many ms after SIGTERM and the longest deadline, or the most that counts of it:
 # what comes in a drain, be it that only its last byte was missing, must have its answer so long before.
 KILL_AFTER, KILL_DEADLINE, KILL_MARGIN = 700.0, 3000.0, 100.0
+RESTART = 3000.0  # ms that a kill and the new start may take: so old may the list be that it begins with
 REPORT = 10.0  # s between lines of counters
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
@@ -92,7 +93,7 @@
         pushed = not config.settings.ask_for_list
         retry_most = min(RETRY_MOST, RETRY_GRACE * config.drain_grace / 1000) if pushed else RETRY_MOST
         rng = random.Random(config.seed)
-        self.discovery = Discovery(config.discovery, self.take_list, rng, retry_most)
+        self.discovery = Discovery(config.discovery, self.take_list, rng, self.list_lost, retry_most)
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
             Refuse: self.refuse,
@@ -243,6 +244,10 @@
 
     # From discovery.
 
+    def list_lost(self, heard: float | None) -> None:
+        kind = ListKind.DELTA if heard is None else ListKind.FAILED
+        self.tell(ServerList(kind, self.discovery.version or 0, [], heard))
+
     def take_list(self, raw: dict[str, Any], kind: ListKind | None = None) -> int:
         """Take over a list or its changes; ValueError, and nothing taken, if any line of it is bad."""
         try:
@@ -269,7 +274,8 @@
             more = f" and {len(entries) - 4} more" if len(entries) > 4 else ""
             log.info("list %d, %s: %s%s", version, kind.name.lower(), changed, more)
         self.healthy = True
-        self.tell(ServerList(kind, version, [entry for entry, _, _ in entries]))
+        heard = now_ms() - RESTART if kind is ListKind.CACHED else None
+        self.tell(ServerList(kind, version, [entry for entry, _, _ in entries], heard))
         return version
 
     def read_entry(self, line: dict[str, Any]) -> tuple[ServerEntry, Address, str]:
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
@@ -102,6 +103,9 @@
     warm_keys: bool = False  # a server that met a key lately serves it with less work
     ask_for_list: bool = False  # the list comes only when asked for
     ask_within: float = 10000.0
+    vouched_for: float = (
+        math.inf
+    )  # ms after the last word of a list that is lost in which no missed drain binds
     tick: float = 1.0
     may_cancel: bool = False
     max_attempts: int = 1
@@ -127,6 +131,7 @@
             "ramp_time",
             "max_retry_after",
             "key_rest",
+            "vouched_for",
         ):
             _need(getattr(self, name) >= 0, name, getattr(self, name))
         for quota in self.quotas:
@@ -154,6 +159,7 @@
     kind: ListKind
     version: int
     servers: list[ServerEntry]
+    heard: float | None = None  # where a call failed: clock time of the list's last word; None: now
 
 
 @dataclass(slots=True)
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -6,16 +6,18 @@
 
 from __future__ import annotations
 
+import math
 import random
 from bisect import bisect, insort
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from cottonhall.interface import (
     MAY_RUN_ON, NEVER_RAN, Action, Cancel, Effect, Event, Fail, Group, ListKind, Log, Outcome, Refuse,
     Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake, Withdrawn,
 )  # fmt: skip
+from cottonhall.records import MASK, Health, Job, Server, Turn, mix
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
 AIM = (
@@ -44,66 +46,11 @@
 MAX_RESTING = 0.34  # never rest more servers than this part of our stretch: then the trouble is shared
 SPARSE = 0.2  # requests a server below which a node's own hold tells too little of the whole fleet
 NODES = 6  # nodes that then share a stretch: fewer know more of its servers, but its keys are colder
+LOST_MOST = 30000.0  # ms without a word of the list after which all are trusted: then it is down for good
 FEW = 8  # servers in a stretch at least: enough to tell good from bad
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
-MASK = (1 << 64) - 1
-
-
-def mix(x: int) -> int:
-    """Scatter a number over 64 bits; the same at every node."""
-    x = (x ^ (x >> 31)) * 0x9E3779B97F4A7C15 & MASK
-    x = (x ^ (x >> 29)) * 0xBF58476D1CE4E5B9 & MASK
-    return x ^ (x >> 32)
-
-
-@dataclass(slots=True)
-class Health:
-    """How a server treats one class."""
-
-    fails: float = 0.0  # recent share of failures
-    rest_until: float = 0.0  # not before then; 0: no suspect
-    strikes: int = 0  # rests lately
-
-
-@dataclass(slots=True)
-class Server:
-    """What this node knows of a server: the list's line and what its own attempts showed."""
-
-    entry: ServerEntry
-    tokens: float  # while cold: attempts it may get; a random start keeps nodes out of step
-    tokens_at: float
-    health: list[Health]  # by class
-    # Attempts without an outcome: since when, and until when not overdue.
-    open: dict[tuple[int, int], tuple[Job, float, float]] = field(default_factory=dict)
-    heard: float = 0.0  # when the youngest attempt was sent that it has answered
-    recent: float = 0.0  # our recent attempts, decayed
-    silent: float = 0.0  # recent share of its attempts, of all classes, that no answer ended
-    slow: float = 1.0  # its answers' time over the usual for their class and its kind
-
-
-@dataclass(slots=True, eq=False)
-class Turn:
-    """The requests of one key that take turns, and what keeps the next of them waiting."""
-
-    line: list[Job] = field(default_factory=list)  # unfinished ones in order of arrival
-    out: int = 0  # attempts without an outcome, those of finished requests included
-    rest_until: float = 0.0
-
-
-@dataclass(slots=True, eq=False)
-class Job:
-    """A request that is owed an answer; its attempts keep it until their outcomes."""
-
-    request: Request
-    since: float
-    score: float
-    turn: Turn | None = None
-    tries: int = 0
-    out: set[int] = field(default_factory=set)  # numbers of its attempts without an outcome
-    maybe_ran: dict[int, tuple[float, ServerEntry]] = field(default_factory=dict)  # sends that may have run
-    used: list[int] = field(default_factory=list)  # servers tried
 
 
 class Policy:
@@ -113,6 +60,7 @@
         self.settings, self.random = settings, random.Random(seed)
         self.servers: dict[int, Server] = {}
         self.ready: list[int] = []  # in the order of their hashes, the same at every node
+        self.lost_at = math.inf  # the last word of the list, while it is lost
         self.start, self.span = 0, 1  # our stretch of the fleet
         self.ours: list[int] = []  # its servers
         self.near: list[int] = []  # those of them in our zone
@@ -386,8 +334,18 @@
             return False  # a suspect rests, then gets one attempt at a time until it proves itself
         if any(overdue < self.now and sent >= server.heard for _, sent, overdue in server.open.values()):
             return False  # hung or pausing, seen before any time-out
+        if not self.vouched(server):
+            return False
         return self.cold_share(server) >= 1.0 or self.cold_token(server)
 
+    def vouched(self, server: Server) -> bool:
+        """Whether no drain that went unheard can bind yet: not for so long after the list's last word, nor
+        after an attempt was sent that the server has served, since who drains turns requests away."""
+        if self.now > self.lost_at + LOST_MOST:
+            return True
+        served = server.heard if server.heard > server.turned_away else 0.0
+        return self.now + self.settings.dial_time < max(self.lost_at, served) + self.settings.vouched_for
+
     def lost(self, server: Server) -> int:
         """Attempts that are overdue while later ones were answered: swallowed, or far heavier than most.
 
@@ -434,6 +392,8 @@
         job, sent, _ = held
         if outcome.result in (Result.OK, Result.ERROR):
             server.heard = max(server.heard, sent)
+        elif outcome.result == Result.FULL:
+            server.turned_away = max(server.turned_away, sent)
         self.forget(server)
         self.flying -= 1
         self.note_end(job, outcome)
@@ -544,6 +504,11 @@
             # Calls of many nodes would meet: the first is spread out, later ones back off with jitter.
             self.out.append(Wake(self.ask_backoff * (0.2 + 0.8 * self.random.random()), SUBSCRIBE))
             self.ask_backoff = min(2 * self.ask_backoff, self.settings.ask_within / 4)
+        if event.kind in (ListKind.CACHED, ListKind.FAILED):
+            heard = self.now if event.heard is None else event.heard
+            self.lost_at = min(self.lost_at, heard)
+        else:
+            self.lost_at = math.inf
         if event.kind is ListKind.FAILED:
             return
         if event.kind is not ListKind.CACHED:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -16,6 +16,7 @@
     RequestClass,
     Result,
     Send,
+    ServerList,
     State,
     Subscribe,
     Wake,
@@ -518,6 +519,36 @@
     assert not any(isinstance(a, Subscribe | Wake) for a in pushed.log)
 
 
+def test_while_the_list_is_lost_only_servers_that_served_lately_get_requests() -> None:
+    # A drain that went unheard (herd, 60 nodes, seed 22) bound 6 s after discovery had it, and a node that
+    # could not get through sent to a server that it had not used since.
+    stage = Stage(
+        settings(classes=(UNSAFE,), ask_for_list=True, vouched_for=3000.0, dial_time=50.0), servers=8
+    )
+    stage.list([])
+    for _ in range(40):
+        stage.now += 100  # however long the list says nothing while it is followed
+        stage.outcome(stage.request(), 0, Result.OK)
+    stage.give(ServerList(ListKind.FAILED, 0, [], stage.now - 1000.0))
+    lost_at, mark = stage.now - 1000.0, len(stage.attempts)
+    for _ in range(100):
+        stage.now += 100
+        number = stage.request()
+        while stage.open:
+            serves = stage.attempts[number][-1][1].id < 2
+            stage.outcome(*next(iter(stage.open)), Result.OK if serves else Result.FULL)
+    late = [send for sends in list(stage.attempts.values())[mark:] for send in sends]
+    late = [entry.id for at, entry in late if at + 50.0 >= lost_at + 1000.0 + 3000.0]
+    assert len(late) > 40 and set(late) == {0, 1}
+    stage.now += 3000.0
+    assert not stage.attempts[stage.request()]
+    stage.list([])
+    assert stage.attempts[stage.request()]
+    stage.give(ServerList(ListKind.FAILED, 0, [], stage.now))
+    stage.now += 60_000.0  # then it is no loss of minutes: no server is known to drain, and all are used
+    assert stage.attempts[stage.request()]
+
+
 def test_keyed_request_is_not_repeated_after_its_window() -> None:
     stage = Stage(settings(classes=(replace(KEYED, aim=900.0, window=100.0),)))
     number = stage.request()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,8 @@
 
 from badgercart import discovery
 from badgercart.clients import stable_id
-from cottonhall.interface import ServerList, State
+from badgercart.config import TOLD
+from cottonhall.interface import ListKind, ServerList, State
 from tests.net import (
     WAIT,
     Agent,
@@ -139,7 +140,7 @@
     first = found == "SILENCE"  # a watch that spoke: calls went well, and the wait is the shortest
     retry = discovery.RETRY_FIRST if first else discovery.RETRY_MOST
     wait = retry * max(discovery.JITTER)
-    assert getattr(discovery, found) + wait + discovery.TURN <= discovery.TOLD
+    assert getattr(discovery, found) + wait + discovery.TURN <= TOLD
     assert discovery.TURN < discovery.FIRST_BYTE
 
 
@@ -163,6 +164,21 @@
     run(test())
 
 
+def test_the_policy_hears_when_the_list_was_lost_and_when_it_is_heard_again() -> None:
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            discovery = stand.node.discovery
+            while not discovery.failing:
+                stand.agent.lines.put_nowait(None)
+                await asyncio.sleep(0)
+            lost = await stand.event(ServerList)
+            assert (lost.kind, lost.servers) == (ListKind.FAILED, []) and lost.heard == discovery.heard
+            again = await stand.event(ServerList)
+            assert (again.kind, again.version, again.servers) == (ListKind.DELTA, 1, [])
+
+    run(test())
+
+
 def test_a_line_of_the_old_watch_that_lies_unread_at_a_move_is_not_taken(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -17,5 +18,15 @@
     assert max(map(len, lines)) <= 110
 
 
+def test_all_files_of_the_module_are_named_and_short_enough_together() -> None:
+    policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+    rules = (ROOT / "cottonhall" / "rules.py").read_text()
+    parts = {f"cottonhall/{name}.py" for name in ("records", "fleet") if f"from cottonhall.{name} " in rules}
+    assert set(policy) == {"cottonhall/rules.py"} | parts
+    lines = [line for name in policy for line in (ROOT / name).read_text().splitlines()]
+    assert sum(bool(line.strip()) for line in lines) <= 1200
+    assert max(map(len, lines)) <= 110
+
+
 def test_module_names_its_interface_at_the_top() -> None:
     assert "cottonhall/interface.py" in (ROOT / "cottonhall" / "rules.py").read_text().splitlines()[0]
