Let turns at a cold server lapse, spread evenly over the nodes, instead of saving them up

Seen in simulated time (bench/cold.py; 20 requests/s over 10 servers, multiple 3, nine of them drain 4 s after one started): of 30 nodes, each with up to one attempt saved up, 13 to 17 reached the cold server within 1 s where 13.1 to 13.6 are borne; of 200 nodes, 200 requests/s, 137 to 154 where 79 are. Cause: cold_token kept one token a node for as long as it took, so what lies ready grows with the number of nodes, whatever N is. Now a turn lapses after a time that follows from N, and nodes start at multiples of the golden ratio apart instead of at random.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the node and of its decisions at sizes that no deployment here has yet."""
--- /dev/null
+++ b/bench/cold.py
@@ -0,0 +1,120 @@
+"""How much a server that has just started gets from all nodes together, in simulated time.
+
+Each node is a decision module of its own; nothing but the server that all of them send to joins them. The
+server starts in a quiet stretch, and a burst follows: then the most is sent that nodes had kept back.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, replace
+
+from cottonhall import Policy
+from cottonhall.interface import (
+    Effect,
+    ListKind,
+    Outcome,
+    Request,
+    RequestClass,
+    Result,
+    Send,
+    ServerEntry,
+    ServerList,
+    Settings,
+    State,
+)
+
+WARM = 20_000.0  # ms of steady traffic before the server starts
+QUIET, BURST = 4_000.0, 4_000.0  # ms of a fifth of the traffic, then of twice as much
+WORK = 50.0  # ms that an answer takes at least; a server does so much in a time, and the rest waits
+COLD = 1  # id of the server that starts
+
+
+@dataclass(frozen=True)
+class Result_:
+    """The worst window of one run, beside what a server of these settings bears."""
+
+    nodes: int
+    most: int  # requests in the worst window
+    allowed: float  # N, what it can do then, times the multiple of the settings
+    bound: float  # with what is taken for chance
+    over: int  # windows over the bound
+
+
+def bound(allowed: float) -> float:
+    """What N requests of mean work may become by chance."""
+    return allowed + 2 * math.sqrt(allowed) + 2
+
+
+def settings(nodes: int, me: int, multiple: float) -> Settings:
+    one = RequestClass(aim=400.0, deadline=1000.0, worth=1.0, effect=Effect.SAFE)
+    return Settings(
+        classes=(one,), group_size=nodes, me=me, cold_from=0.34, ramp_time=8800.0, tip_multiple=multiple
+    )
+
+
+def arrivals(rng: random.Random, rate: float) -> list[float]:
+    """Times in ms of all requests; rate in requests a second."""
+    now, out = 0.0, []
+    while now < WARM + QUIET + BURST:
+        factor = 1.0 if now < WARM else 0.2 if now < WARM + QUIET else 2.0
+        now += rng.expovariate(rate * factor / 1000)
+        out.append(now)
+    return out
+
+
+def run(
+    nodes: int, servers: int, rate: float, used: float, multiple: float, seed: int, lost: float = 0.0
+) -> Result_:
+    """One start of a cold server; `used` is the share of a warm server's power that steady traffic takes,
+    `lost` the share of the warm servers that drain as the burst begins."""
+    rng = random.Random(seed)
+    policies = [Policy(settings(nodes, me, multiple), rng.getrandbits(64)) for me in range(nodes)]
+    fleet = [ServerEntry(COLD + 1 + i, 0, 0, 0, State.READY, 1.0, 0.0) for i in range(servers)]
+    for policy in policies:
+        policy.handle(0.0, ServerList(ListKind.FULL, 1, fleet))
+    events: list[tuple[float, int, int, Outcome | None]] = []
+    for order, at in enumerate(arrivals(rng, rate)):
+        events.append((at, order, rng.randrange(nodes), None))
+    heapq.heapify(events)
+    order, started, sent = len(events), False, deque[float]()
+    drained = [replace(entry, state=State.DRAINING) for entry in fleet[: int(lost * servers)]]
+    power = rate / 1000 / servers / used  # requests a ms that a warm server can do
+    free_at: dict[int, float] = {}  # when a server has done what it holds
+    most, over, worst, allowed = 0, 0, 0.0, 0.0
+    while events:
+        now, number, me, outcome = heapq.heappop(events)
+        if not started and now >= WARM:
+            started = True
+            entry = ServerEntry(COLD, 0, 0, 0, State.READY, 1.0, WARM)
+            for policy in policies:
+                policy.handle(now, ServerList(ListKind.DELTA, 2, [entry]))
+        if drained and now >= WARM + QUIET:
+            for policy in policies:
+                policy.handle(now, ServerList(ListKind.DELTA, 3, drained))
+            drained = []
+        event = outcome or Request(number, 0, now + 900.0)
+        for action in policies[me].handle(now, event):
+            if not isinstance(action, Send):
+                continue
+            share = min(1.0, 0.34 + 0.66 * (now - WARM) / 8800.0) if action.server == COLD else 1.0
+            free = max(now, free_at.get(action.server, 0.0)) + 1 / (power * share)
+            free_at[action.server] = free
+            end = max(free, now + WORK)
+            done = Outcome(action.id, action.server, True, Result.OK, 0, end - now)
+            if end > now + action.limit:
+                end, done = now + action.limit, replace(done, result=Result.TIMEOUT, over=False)
+            order += 1
+            heapq.heappush(events, (end, order, me, done))
+            if action.server == COLD:
+                sent.append(now)
+                while sent[0] <= now - policies[0].settings.tip_time:
+                    sent.popleft()
+                can = power * share * policies[0].settings.tip_time * multiple
+                over += len(sent) > bound(can)
+                if len(sent) / bound(can) > worst:
+                    worst, most, allowed = len(sent) / bound(can), len(sent), can
+    return Result_(nodes, most, allowed, bound(allowed), over)
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -116,6 +116,8 @@
     key_rest: float = 0.0  # in order: how long a key rests after an attempt that may be running still
     cold_from: float = 1.0  # a server starts with this share of its capacity or more
     ramp_time: float = 0.0
+    tip_multiple: float = 4.0  # a cold server falls that gets more than this multiple of what it can do
+    tip_time: float = 1000.0  # in so many ms
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", self.classes)
@@ -132,6 +134,8 @@
             "max_retry_after",
             "key_rest",
             "vouched_for",
+            "tip_multiple",
+            "tip_time",
         ):
             _need(getattr(self, name) >= 0, name, getattr(self, name))
         for quota in self.quotas:
--- a/cottonhall/records.py
+++ b/cottonhall/records.py
@@ -30,12 +30,14 @@
     """What this node knows of a server: the list's line and what its own attempts showed."""
 
     entry: ServerEntry
-    tokens: float  # while cold: attempts it may get; a random start keeps nodes out of step
-    tokens_at: float
+    # While it is cold: our turns to send to it, the next in part; until when; how many of them are used.
+    turns: float
+    turns_at: float
     health: list[Health]  # by class
     # Attempts without an outcome: since when, and until when not overdue.
     open: dict[tuple[int, int], tuple[Job, float, float]] = field(default_factory=dict)
     heard: float = 0.0  # when the youngest attempt was sent that it has answered
+    turns_used: int = 0
     turned_away: float = 0.0  # when the youngest attempt was sent that it answered with 'full'
     recent: float = 0.0  # our recent attempts, decayed
     silent: float = 0.0  # recent share of its attempts, of all classes, that no answer ended
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -50,6 +50,7 @@
 FEW = 8  # servers in a stretch at least: enough to tell good from bad
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
+GOLDEN = 0.6180339887498949  # multiples of it, less their whole part, never come close to each other
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
 
 
@@ -290,7 +291,7 @@
             if load < 1 + IDLE or seen == (2 if self.span == len(self.ready) else DRAW):
                 break  # the search for an idle one goes on in a stretch only, where a node knows enough
         if lighter is not None and self.cold_share(lighter) < 1.0:
-            lighter.tokens -= 1
+            lighter.turns_used = int(lighter.turns)
         return lighter
 
     def fit(self, server: Server, job: Job) -> bool:
@@ -336,7 +337,7 @@
             return False  # hung or pausing, seen before any time-out
         if not self.vouched(server):
             return False
-        return self.cold_share(server) >= 1.0 or self.cold_token(server)
+        return self.cold_share(server) >= 1.0 or self.cold_turn(server)
 
     def vouched(self, server: Server) -> bool:
         """Whether no drain that went unheard can bind yet: not for so long after the list's last word, nor
@@ -359,14 +360,27 @@
             return 1.0
         return settings.cold_from + (1.0 - settings.cold_from) * age / settings.ramp_time
 
-    def cold_token(self, server: Server) -> bool:
+    def cold_turn(self, server: Server) -> bool:
         # All nodes together overdrive a cold server: each keeps to its share of what a warm peer answered
-        # (little of what is sent may arrive), without a burst; at first to its part of one at a time.
+        # (little of what is sent may arrive); at first to its part of one at a time. What it leaves unused
+        # lapses, as all that many nodes have saved up could come at once.
         one = 1.0 / self.settings.group_size / max(self.usual)
         rate = COLD_SHARE * self.cold_share(server) * max(self.carried, one) * len(self.ready) / self.span
-        server.tokens = min(server.tokens + rate * (self.now - server.tokens_at), 1.0)
-        server.tokens_at = self.now
-        return server.tokens >= 1.0
+        server.turns += rate * (self.now - server.turns_at)
+        server.turns_at = self.now
+        whole = int(server.turns)
+        return whole > server.turns_used and server.turns - whole <= rate * self.turn_time(rate)
+
+    def turn_time(self, rate: float) -> float:
+        """How long a turn stays: what all nodes come to have at once is under what tips the server.
+
+        They take rate * nodes a ms, and N is taken as multiple / 2 times as much: the best that each has seen
+        adds up to more than there ever was at once. Of what passes for chance it uses half."""
+        settings = self.settings
+        taken = rate * settings.group_size * self.span / len(self.ready) * settings.tip_time
+        allowed = taken * settings.tip_multiple / 2
+        spare = max(allowed - taken, 0.0) + math.sqrt(allowed) + 1
+        return settings.tip_time * max(0.25, spare / max(taken, 1e-9))
 
     def allowed(self, job: Job, server: Server) -> bool:
         """Whether the class lets the request go to this server, given where it may have run already."""
@@ -553,7 +567,9 @@
             return
         if old is None or old.entry.started != entry.started:  # new, or restarted: what we knew is void
             health = [Health() for _ in self.usual]
-            self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
+            # Nodes that follow each other in number are spread evenly over the turns.
+            phase = (self.settings.me * GOLDEN + mix(entry.id) / 2**64) % 1.0
+            self.servers[entry.id] = Server(entry, phase, self.now, health)
             if old is not None:
                 self.servers[entry.id].open = old.open
         was_ready = old is not None and old.entry.state is State.READY
--- a/cottonhall/wire.py
+++ b/cottonhall/wire.py
@@ -141,6 +141,8 @@
         key_rest=float(rules.get("KeyRest", 0.0)),
         cold_from=float(rules["ColdFrom"]),
         ramp_time=float(rules["RampTime"]),
+        tip_multiple=float(rules.get("TipMultiple", 4.0)),
+        tip_time=float(rules.get("OverloadFor", 1000.0)),
     )
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -135,12 +135,17 @@
 
 
 def test_a_list_without_sizes_is_served_like_any_other() -> None:
-    stage = Stage(settings(classes=(SAFE,)), servers=0)
-    stage.list([replace(server(i), size=0.0) for i in range(8)], ListKind.FULL)
-    for _ in range(50):
-        stage.now += 200
-        stage.outcome(stage.request(), 0, Result.OK)
-    assert len(set(sent_to(stage))) > 4
+    used = set()
+    for seed in range(8):
+        stage = Stage(settings(classes=(SAFE,)), servers=0, seed=seed)
+        stage.list([replace(server(i), size=0.0) for i in range(8)], ListKind.FULL)
+        for _ in range(50):
+            stage.now += 200
+            stage.outcome(stage.request(), 0, Result.OK)
+        sent = sent_to(stage)
+        assert len(sent) == 50 and min(sent.count(i) for i in (0, 3, 6)) > 2  # its zone's servers, most often
+        used |= set(sent)
+    assert used == set(range(8))
 
 
 def test_a_server_known_to_be_slow_is_not_idle_for_being_unused() -> None:
@@ -504,6 +509,25 @@
     assert counts[1] < 1.0
 
 
+@pytest.mark.parametrize("nodes", [5, 30, 200])
+def test_what_all_nodes_kept_back_for_a_cold_server_does_not_come_at_once(nodes: int) -> None:
+    # Each had saved up a turn in quiet seconds: 30 nodes then sent 17 in a second where 13.5 were borne.
+    tip, age, answered, sent = 2.0, 8000.0, 5.0, 0  # answered by a warm peer, by all nodes, a second
+    config = settings(classes=(UNSAFE,), group_size=nodes, tip_multiple=tip)
+    for me in range(nodes):
+        stage = Stage(replace(config, me=me), seed=me, servers=0)
+        stage.list([server(0), server(1, started=stage.now)], ListKind.FULL)
+        for _ in range(int(age / 50)):
+            stage.policy.carried = answered / nodes / 1000
+            stage.policy.usable(stage.policy.servers[1], stage.policy.servers[1].health[0])
+            stage.now += 50
+        stage.list([server(0, State.DRAINING)])
+        stage.policy.carried = answered / nodes / 1000
+        sent += 1 in [action.server for action in stage.give_new(0) if isinstance(action, Send)]
+    allowed = tip * answered * (0.2 + 0.8 * age / 10_000.0)
+    assert 0 < sent <= allowed + 2 * allowed**0.5 + 2
+
+
 def test_list_is_asked_for_with_backoff_and_only_where_it_must_be() -> None:
     stage = Stage(settings(ask_for_list=True), servers=3)
     delays = []
