Show that idle clients at the limit leave descriptors for discovery and servers

A node as a process with 128 descriptors and a hard limit of so many, 200 idle clients, discovery down and back: the change arrives, a new client is taken, its request goes to the new server.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -86,10 +86,15 @@
 
 
 @asynccontextmanager
-async def started(path: Path, discovery: int, **variables: str) -> AsyncIterator[Process]:
-    path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{discovery}"}))
+async def started(
+    path: Path, discovery: int, sockets: int = 1024, **variables: str
+) -> AsyncIterator[Process]:
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": sockets}
+    path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{discovery}", "limits": limits}))
     process = await asyncio.create_subprocess_exec(
-        *COMMAND, env=os.environ | {"ROUTER_CONFIG": str(path)} | variables, stderr=asyncio.subprocess.PIPE
+        *("sh", "-c", f'ulimit -n {sockets}; exec "$@"', "sh", *COMMAND),
+        env=os.environ | {"ROUTER_CONFIG": str(path)} | variables,
+        stderr=asyncio.subprocess.PIPE,
     )
     node = Process(process)
     try:
@@ -166,3 +171,28 @@
             assert await asyncio.wait_for(node.process.wait(), WAIT) == 0
 
     uvloop.run(test())
+
+
+def test_while_idle_clients_fill_the_descriptors_discovery_and_servers_are_still_reached(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        old, new = await Peer().start(), await Peer().start()
+        agent = await Agent([old.entry()]).start()
+        async with started(tmp_path / "config.json", agent.port, sockets=128) as node:
+            while "watch" not in await asyncio.wait_for(agent.calls.get(), WAIT):
+                pass
+            agent.server.close()  # discovery is down, and the open watch ends with it
+            agent.lines.put_nowait(None)
+            await node.line("discovery: ")
+            idle = [await node.client() for _ in range(200)]
+            agent.server = await asyncio.start_server(agent.serve, "127.0.0.1", agent.port)
+            agent.push(2, [old.entry(state="leaving"), new.entry("s-2")])
+            await node.line("list 2")
+            client = await node.client()
+            assert (await client.ask(request()))[0] == 200
+            assert new.requests.qsize() == 1 and old.requests.empty()
+            for one in idle:
+                one.writer.close()
+
+    uvloop.run(test())
