--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -291,7 +291,7 @@
             if load < 1 + IDLE or seen == (2 if self.span == len(self.ready) else DRAW):
                 break  # the search for an idle one goes on in a stretch only, where a node knows enough
         if lighter is not None and self.cold_share(lighter) < 1.0:
-            lighter.turns_used = int(lighter.turns)
+            lighter.turns = lighter.turns_used = int(lighter.turns)  # the next one is counted from here
         return lighter
 
     def fit(self, server: Server, job: Job) -> bool:
