--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -52,25 +52,7 @@
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
     try:
-        raw = json.loads(Path(path).read_bytes())
-        settings = raw["settings"]
-        allowed, drain_grace = settings["Allowed"], float(settings["Obligations"]["DrainGrace"])
-        return Config(
-            name=str(environ.get("ROUTER_NAME") or raw["name"]),
-            listen=parse_address(environ.get("ROUTER_LISTEN") or raw["listen"]),
-            discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
-            seed=int(raw["seed"], 16),
-            sockets=int(raw["limits"]["sockets"]),
-            known=dict(raw.get("known") or {}),
-            settings=vouching(read_settings(json.dumps(settings).encode()), drain_grace),
-            classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
-            tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
-            kinds={name: i for i, name in enumerate(settings.get("Kinds", ()))},
-            zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
-            drain_grace=drain_grace,
-            dial_timeout=float(allowed["DialTimeout"]),
-            idle_timeout=float(allowed["ConnIdle"]),
-        )
+        return read_config_text(Path(path).read_bytes(), environ)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except KeyError as error:
@@ -79,6 +61,29 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def read_config_text(text: bytes | str, environ: Mapping[str, str]) -> Config:
+    """The same of a file's text, with the errors as they come."""
+    raw = json.loads(text)
+    settings = raw["settings"]
+    allowed, drain_grace = settings["Allowed"], float(settings["Obligations"]["DrainGrace"])
+    return Config(
+        name=str(environ.get("ROUTER_NAME") or raw["name"]),
+        listen=parse_address(environ.get("ROUTER_LISTEN") or raw["listen"]),
+        discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
+        seed=int(raw["seed"], 16),
+        sockets=int(raw["limits"]["sockets"]),
+        known=dict(raw.get("known") or {}),
+        settings=vouching(read_settings(json.dumps(settings).encode()), drain_grace),
+        classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
+        tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
+        kinds={name: i for i, name in enumerate(settings.get("Kinds", ()))},
+        zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
+        drain_grace=drain_grace,
+        dial_timeout=float(allowed["DialTimeout"]),
+        idle_timeout=float(allowed["ConnIdle"]),
+    )
+
+
 def vouching(settings: Settings, drain_grace: float) -> Settings:
     """With how long a server may get requests after the last word of a list that is asked for. Where it is
     pushed nothing counts as told while discovery is down, and all of it at once when it is back."""
--- a/bench/cold.py
+++ b/bench/cold.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True)
-class Result_:
+class Worst:
     """The worst window of one run, beside what a server of these settings bears."""
 
     nodes: int
@@ -68,7 +68,7 @@
 
 def run(
     nodes: int, servers: int, rate: float, used: float, multiple: float, seed: int, lost: float = 0.0
-) -> Result_:
+) -> Worst:
     """One start of a cold server; `used` is the share of a warm server's power that steady traffic takes,
     `lost` the share of the warm servers that drain as the burst begins."""
     rng = random.Random(seed)
@@ -117,4 +117,4 @@
                 over += len(sent) > bound(can)
                 if len(sent) / bound(can) > worst:
                     worst, most, allowed = len(sent) / bound(can), len(sent), can
-    return Result_(nodes, most, allowed, bound(allowed), over)
+    return Worst(nodes, most, allowed, bound(allowed), over)
