Hold the module's list compactly and keep its sums up by difference

Cause: measure_fleet, set_cut, halving and the leak of quotas went through all servers, all tenants, and the bands through all pairs of classes, with a Python object for each server. Now the list is packed rows by the hash of the id (57 bytes a server with its key), in pieces; sums, maxima and cold servers are kept by difference, cold ones in bins of 100 ms; buckets of tenants leak when looked at; only servers in use have full state. Above 1,000 servers a node's stretch is an arc of the hash order: a change moves the stretch that it is in only. Up to 1,000 servers the stretches are those from before.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -8,15 +8,17 @@
 
 import math
 import random
-from bisect import bisect, insort
+from bisect import bisect
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import replace
+from itertools import groupby
 
 from cottonhall.interface import (
     MAY_RUN_ON, NEVER_RAN, Action, Cancel, Effect, Event, Fail, Group, ListKind, Log, Outcome, Refuse,
     Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake, Withdrawn,
 )  # fmt: skip
+from cottonhall.fleet import Fleet
 from cottonhall.records import MASK, Health, Job, Server, Turn, mix
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
@@ -45,9 +47,8 @@
 REST = 2000.0  # ms a suspect rests before one trial
 MAX_RESTING = 0.34  # never rest more servers than this part of our stretch: then the trouble is shared
 SPARSE = 0.2  # requests a server below which a node's own hold tells too little of the whole fleet
-NODES = 6  # nodes that then share a stretch: fewer know more of its servers, but its keys are colder
 LOST_MOST = 30000.0  # ms without a word of the list after which all are trusted: then it is down for good
-FEW = 8  # servers in a stretch at least: enough to tell good from bad
+KEPT = 4000  # servers that a node may know more of than their line, past those that it works with
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 GOLDEN = 0.6180339887498949  # multiples of it, less their whole part, never come close to each other
@@ -59,8 +60,10 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
-        self.servers: dict[int, Server] = {}
-        self.ready: list[int] = []  # in the order of their hashes, the same at every node
+        self.fleet = Fleet(settings)
+        self.servers: dict[int, Server] = {}  # those we work with or have worked with
+        self.busy: dict[int, Server] = {}  # those with attempts without an outcome
+        self.ready: list[int] = []  # in the order of their hashes: all, or of a large fleet those next to us
         self.lost_at = math.inf  # the last word of the list, while it is lost
         self.start, self.span = 0, 1  # our stretch of the fleet
         self.ours: list[int] = []  # its servers
@@ -73,7 +76,8 @@
         self.usual = [c.aim / 4 for c in settings.classes]  # learned answer time by class
         self.offered = [1e-9] * (2 * n)  # recent requests, like worths: by class, then by class beyond quota
         self.bands: list[tuple[float, float]] = [(0.0, 100.0)] * (2 * n)
-        self.quota_used = [0.0] * len(settings.quotas)
+        self.by_worth = sorted(range(2 * n), key=self.worths.__getitem__)
+        self.quota_used: dict[int, tuple[float, float]] = {}  # by tenant: how much, and when that was
         self.key_counts: dict[int, float] = {}
         self.keys_total = self.total_recent = 1e-9  # recent requests with a key, recent attempts
         self.failed = self.seen = self.no_link = 0.0  # recent attempts, decayed; share without a connection
@@ -129,10 +133,12 @@
         if settings.quotas:  # a bucket 1 s deep that leaks the quota; our traffic stands for all nodes'
             if not 0 <= tenant < len(settings.quotas):
                 raise LookupError(f"a request names tenant {tenant}, which the settings do not have")
-            if self.quota_used[tenant] > settings.quotas[tenant] / settings.group_size:
+            quota = settings.quotas[tenant] / settings.group_size
+            used, at = self.quota_used.get(tenant, (0.0, self.now))
+            used = max(0.0, used - quota * (self.now - at) / 1000)
+            if used > quota:
                 group += len(settings.classes)
-            else:
-                self.quota_used[tenant] += 1
+            self.quota_used[tenant] = used + (used <= quota), self.now
         self.offered[group] += 1
         if request.key and settings.warm_keys:
             self.key_counts[request.key] = self.key_counts.get(request.key, 0.0) + 1
@@ -155,31 +161,33 @@
     def upkeep(self) -> None:
         passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP * self.pace
         self.upkeep_at = self.now
-        leak = passed / 1000 / self.settings.group_size
-        used = zip(self.quota_used, self.settings.quotas, strict=True)
-        self.quota_used = [max(0.0, count - quota * leak) for count, quota in used]
         if self.now - self.halved_at >= SHARE_HALF:
             self.halved_at = self.now
             self.offered = [x / 2 for x in self.offered]
             self.keys_total /= 2
             self.key_counts = {k: c / 2 for k, c in self.key_counts.items() if c > 0.5}
             self.total_recent /= 2
+            # A bucket is 1 s deep: what was last looked at before the last halving has leaked by now.
+            self.quota_used = {t: u for t, u in self.quota_used.items() if self.now - u[1] < SHARE_HALF}
             self.turns = {k: t for k, t in self.turns.items() if t.line or t.out or t.rest_until > self.now}
             for server in self.servers.values():
                 server.recent /= 2
                 server.slow = (1 + server.slow) / 2
+            self.trim()
             self.measure_fleet()
         self.set_bands()
         self.set_cut(passed)
 
     def set_bands(self) -> None:
         """Scores: groups in order of worth, as wide as their share of offered worth; equals share a band."""
-        offered = [(w, w * count) for w, count in zip(self.worths, self.offered, strict=True)]
-        total = sum(value for _, value in offered) or 1.0
-        for i, worth in enumerate(self.worths):
-            low = sum(value for w, value in offered if w < worth)
-            same = sum(value for w, value in offered if w == worth)
-            self.bands[i] = (100.0 * low / total, 100.0 * same / total)
+        value = [worth * count for worth, count in zip(self.worths, self.offered, strict=True)]
+        total, low = sum(value) or 1.0, 0.0
+        for _, same in groupby(self.by_worth, key=self.worths.__getitem__):
+            group = list(same)
+            band = sum(value[i] for i in group)
+            for i in group:
+                self.bands[i] = (100.0 * low / total, 100.0 * band / total)
+            low += band
 
     # Overload: how far errors and requests in flight are past their thresholds.
 
@@ -187,7 +195,7 @@
         # Of few requests held most is chance: then it looks at a longer time.
         settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP) * self.pace
         part = min(1.0, passed / settle)
-        flying = self.flying - sum(map(self.lost, self.servers.values()))
+        flying = self.flying - sum(map(self.lost, self.busy.values()))
         self.in_flight += (flying - self.in_flight) * part
         self.sending += (self.sent / max(passed, 1.0) - self.sending) * part
         self.sent = 0
@@ -254,6 +262,7 @@
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
         server.open[(request.id, job.tries)] = job, self.now, self.now + STALL * usual
+        self.busy[server.entry.id] = server
         if turn:
             turn.out += 1
         job.tries += 1
@@ -281,14 +290,14 @@
             if warm and self.load(server, job, had=0.0) < 1 + IDLE:
                 return server  # whatever it had before: a way to another zone has its price
         for server_id in self.draw(job.request.key):
-            server = self.servers[server_id]
+            server = self.known(server_id)
             if server is lighter or not self.fit(server, job):  # two draws mean two servers, also in few
                 continue
             load = self.load(server, job)
             seen += 1
             if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
                 lighter, least = server, load
-            if load < 1 + IDLE or seen == (2 if self.span == len(self.ready) else DRAW):
+            if load < 1 + IDLE or seen == (2 if self.span == self.fleet.ready else DRAW):
                 break  # the search for an idle one goes on in a stretch only, where a node knows enough
         if lighter is not None and self.cold_share(lighter) < 1.0:
             lighter.turns = lighter.turns_used = int(lighter.turns)  # the next one is counted from here
@@ -365,7 +374,7 @@
         # (little of what is sent may arrive); at first to its part of one at a time. What it leaves unused
         # lapses, as all that many nodes have saved up could come at once.
         one = 1.0 / self.settings.group_size / max(self.usual)
-        rate = COLD_SHARE * self.cold_share(server) * max(self.carried, one) * len(self.ready) / self.span
+        rate = COLD_SHARE * self.cold_share(server) * max(self.carried, one) * self.fleet.ready / self.span
         server.turns += rate * (self.now - server.turns_at)
         server.turns_at = self.now
         whole = int(server.turns)
@@ -377,7 +386,7 @@
         They take rate * nodes a ms, and N is taken as multiple / 2 times as much: the best that each has seen
         adds up to more than there ever was at once. Of what passes for chance it uses half."""
         settings = self.settings
-        taken = rate * settings.group_size * self.span / len(self.ready) * settings.tip_time
+        taken = rate * settings.group_size * self.span / self.fleet.ready * settings.tip_time
         allowed = taken * settings.tip_multiple / 2
         spare = max(allowed - taken, 0.0) + math.sqrt(allowed) + 1
         return settings.tip_time * max(0.25, spare / max(taken, 1e-9))
@@ -404,6 +413,8 @@
         if server is None or held is None:
             return  # told twice, the server may be forgotten by now
         job, sent, _ = held
+        if not server.open:
+            self.busy.pop(outcome.server, None)
         if outcome.result in (Result.OK, Result.ERROR):
             server.heard = max(server.heard, sent)
         elif outcome.result == Result.FULL:
@@ -529,31 +540,51 @@
             self.ask_backoff = self.settings.ask_within / 20
         if event.kind is not ListKind.DELTA:
             listed = {entry.id for entry in event.servers}
-            for server_id in [i for i in self.servers if i not in listed]:
-                self.note(replace(self.servers[server_id].entry, state=State.GONE))
+            for server_id in [i for i in self.fleet.ids() if i not in listed]:
+                entry = self.fleet.get(server_id)
+                assert entry is not None
+                self.note(replace(entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
-        self.measure_fleet()
+        if event.servers or event.kind is not ListKind.DELTA:
+            self.measure_fleet()
 
     def measure_fleet(self) -> None:
-        ready = [self.servers[i] for i in self.ready]
-        # Groups of a few nodes share a stretch of the fleet where each holds little: of few servers a node
-        # knows what they hold, and they accept only so many connections. A group places keys alike.
-        sparse = self.need < SPARSE * len(ready)
-        groups = max(1, min(self.settings.group_size // NODES, len(ready) // FEW)) if sparse else 1
-        group = self.settings.me * groups // self.settings.group_size
-        self.start = group * len(ready) // groups
-        self.span = max(1, (group + 1) * len(ready) // groups - self.start)
+        fleet = self.fleet
+        self.ready, self.start, self.span = fleet.stretch(self.need < SPARSE * fleet.ready)
         self.ours = self.ready[self.start : self.start + self.span]
+        for server_id in self.ours:
+            self.known(server_id)
         apart = self.settings.cross_zone > 0 and not self.settings.warm_keys  # else keys' places come first
         self.near = [i for i in self.ours if apart and self.servers[i].entry.zone == self.settings.zone]
-        self.warm = max(sum(map(self.cold_share, ready)), 1.0)  # servers, cold ones by what they can do
-        self.strongest *= max(map(self.strength, ready), default=1.0) or 1.0  # a list may give no sizes
-        size = sum(s.entry.size for s in ready) / max(1, len(ready))  # 1 serves one at once
+        self.warm = fleet.warm(self.now)
+        self.strongest = fleet.strongest(self.kinds) or self.strongest  # a list may give no sizes
+        size = fleet.mean_size()  # 1 serves one at once
         self.sized = (size if 0.5 <= size <= 8 else 1.0) * self.warm / self.settings.group_size
-        self.mean_strength = sum(map(self.strength, ready)) / max(1, len(ready))
-        points = {i: int(RING_POINTS * self.strength(self.servers[i])) + 1 for i in self.ours}
-        self.ring = sorted((mix(i * 1000003 + point), i) for i in self.ours for point in range(points[i]))
+        self.mean_strength = fleet.mean_strength(self.kinds) / self.strongest
+        if self.settings.warm_keys:
+            points = {i: int(RING_POINTS * self.strength(self.servers[i])) + 1 for i in self.ours}
+            self.ring = sorted((mix(i * 1000003 + point), i) for i in self.ours for point in range(points[i]))
+
+    def known(self, server_id: int) -> Server:
+        """A server of the list, with what is known of it more than its line."""
+        server = self.servers.get(server_id)
+        if server is None:
+            entry = self.fleet.get(server_id)
+            assert entry is not None
+            server = self.servers[server_id] = self.fresh(entry)
+        return server
+
+    def fresh(self, entry: ServerEntry) -> Server:
+        # Nodes that follow each other in number are spread evenly over the turns.
+        phase = (self.settings.me * GOLDEN + mix(entry.id) / 2**64) % 1.0
+        return Server(entry, phase, self.now, [Health() for _ in self.usual])
+
+    def trim(self) -> None:
+        """Keep what is known of servers that are in use, and of some more."""
+        if len(self.servers) > len(self.ours) + KEPT:
+            ours = set(self.ours)
+            self.servers = {i: s for i, s in self.servers.items() if i in ours or s.open}
 
     def forget(self, server: Server) -> None:
         """Ids are ever new: a server that is gone leaves with the outcome of its last attempt."""
@@ -562,22 +593,15 @@
 
     def note(self, entry: ServerEntry) -> None:
         """Take over one line of the list."""
+        self.fleet.put(entry)
         old = self.servers.get(entry.id)
-        if old is None and entry.state is State.GONE:
+        if old is None:
             return
-        if old is None or old.entry.started != entry.started:  # new, or restarted: what we knew is void
-            health = [Health() for _ in self.usual]
-            # Nodes that follow each other in number are spread evenly over the turns.
-            phase = (self.settings.me * GOLDEN + mix(entry.id) / 2**64) % 1.0
-            self.servers[entry.id] = Server(entry, phase, self.now, health)
-            if old is not None:
-                self.servers[entry.id].open = old.open
-        was_ready = old is not None and old.entry.state is State.READY
-        self.servers[entry.id].entry = entry
-        self.forget(self.servers[entry.id])
-        if was_ready == (entry.state is State.READY):
-            return
-        if was_ready:
-            self.ready.remove(entry.id)
-        else:
-            insort(self.ready, entry.id, key=mix)
+        if old.entry.started != entry.started:  # restarted: what we knew is void
+            fresh = self.servers[entry.id] = self.fresh(entry)
+            fresh.open = old.open
+            if fresh.open:
+                self.busy[entry.id] = fresh
+            old = fresh
+        old.entry = entry
+        self.forget(old)
