--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,7 +23,7 @@
 from rich.table import Table
 
 from bench import cold as cold_bench
-from bench import hollow, module, process
+from bench import hollow, module, process, stretch
 from bench.standin import Plan
 
 SIZES = (200, 2_000, 20_000, 95_000)
@@ -109,6 +109,7 @@
     python -m bench module                       # control work of the decision module, 200 to 95,000 servers
     python -m bench node --sizes 200,95000       # a real node before a stand-in for discovery
     python -m bench herd --nodes 300 --call-ms 10 --closed-for 5
+    python -m bench stretch                      # how evenly stretches cover 95,000 servers
     python -m bench cold --nodes 5,30,200        # what a server that has just started gets from all nodes
     """
 
@@ -213,5 +214,15 @@
     show(f"{rate:g} requests/s, {servers} servers, multiple {multiple:g}, {lost:g} lost", rows, file)
 
 
+@main.command("stretch")
+@click.option("--servers", default=95_000, show_default=True)
+@click.option("--nodes", default=7_900, show_default=True)
+@json_option
+def stretch_command(servers: int, nodes: int, file: str | None) -> None:
+    """How evenly all nodes' stretches cover the servers, and how far a change moves them: by rank, by arc."""
+    rows = [asdict(stretch.cover(servers, nodes, by_rank)) for by_rank in (True, False)]
+    show(f"stretches of {nodes} nodes before {servers} servers", rows, file)
+
+
 if __name__ == "__main__":
     main()
