--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -194,7 +194,7 @@
 
 
 def test_what_was_read_is_let_go_at_once() -> None:
-    # The parser keeps what it hands its events to, unseen by the collector: 5,000 lines of a watch, a reader for
+    # The parser keeps what it hands its events to, unseen by the collector: 5,000 lines, a reader for
     # each, held memory for good.
     gc.disable()
     try:
