Read the list in a configuration as it comes, apart from the settings

Now the events of the file's text go two ways: the settings into their object, the list, in a second reading, into packed rows. A file that is no JSON is read once more by the plain reader, which says what is wrong in fewer words.

--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
+from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import IO, Any, cast
 
+import ijson
+from ijson.common import ObjectBuilder
+
+from badgercart.address import Address, parse_address
+from badgercart.listing import Entries, Listing
 from cottonhall.interface import Settings
 from cottonhall.wire import WireError, read_settings
 
-Address = tuple[str, int]
 # s after discovery had a change, and could be reached, in which it counts as told, whether or not it arrived.
 TOLD = 6.0
 # A server of the list takes up to so many bytes of memory, half of it while the next list is read; a part of
@@ -31,7 +36,7 @@
     discovery: Address
     seed: int
     sockets: int  # file descriptors that the process may hold
-    known: dict[str, Any]  # the server list as this node last had it; empty: none
+    known: Callable[[Entries], Listing | None] | None  # reads the server list as this node last had it
     settings: Settings
     classes: dict[bytes, int]  # numbers of the names, in the order of the settings
     tenants: dict[bytes, int]
@@ -43,20 +48,14 @@
     most_servers: int = 100_000  # that a list may name
 
 
-def parse_address(text: str) -> Address:
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is no host:port")
-    return host, int(port)
-
-
 def read_config(environ: Mapping[str, str]) -> Config:
     """The node's configuration. The variables win over what the file repeats of them."""
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
     try:
-        return read_config_text(Path(path).read_bytes(), environ)
+        with Path(path).open("rb") as file:
+            return make_config(read_settled(file), environ, Path(path))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except KeyError as error:
@@ -65,9 +64,53 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def with_known(file: IO[bytes]) -> Iterator[tuple[bool, str, Any]]:
+    """The events of the file's text, and whether each is of the list that `known` holds."""
+    depth, inside = 0, False
+    for event, value in ijson.basic_parse(file, use_float=True):
+        depth -= event in ("end_map", "end_array")
+        yield inside, event, value
+        depth += event in ("start_map", "start_array")
+        if depth == 1:
+            inside = event == "map_key" and value == "known"
+
+
+def read_settled(file: IO[bytes]) -> dict[str, Any]:
+    """The file's object; of the list in it, which may be long and is read later, whether there is one."""
+    builder, known = ObjectBuilder(), ""
+    try:
+        for inside, event, value in with_known(file):
+            if not inside:
+                builder.event(event, value)
+            elif not known:
+                known = event
+                builder.event("boolean", event == "start_map")
+    except ijson.JSONError as error:
+        file.seek(0)
+        json.loads(file.read())  # it says in fewer words what is wrong
+        raise ValueError(" ".join(str(error).split())) from None
+    if known not in ("", "null", "start_map"):
+        raise ValueError("known is no dictionary")
+    return cast(dict[str, Any], builder.value)
+
+
+def read_known(path: Path, entries: Entries) -> Listing | None:
+    """The list in the file, as the node last had it; None where it is empty."""
+    events = entries.events()
+    next(events)
+    with path.open("rb") as file:
+        for inside, event, value in with_known(file):
+            if inside:
+                events.send((event, value))
+    return entries.listing() if entries.entries else None
+
+
 def read_config_text(text: bytes | str, environ: Mapping[str, str]) -> Config:
-    """The same of a file's text, with the errors as they come."""
-    raw = json.loads(text)
+    """A configuration without a list, from its text, with the errors as they come."""
+    return make_config(json.loads(text) | {"known": False}, environ, Path())
+
+
+def make_config(raw: dict[str, Any], environ: Mapping[str, str], path: Path) -> Config:
     settings = raw["settings"]
     allowed, drain_grace = settings["Allowed"], float(settings["Obligations"]["DrainGrace"])
     return Config(
@@ -76,7 +119,7 @@
         discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
-        known=dict(raw.get("known") or {}),
+        known=partial(read_known, path) if raw.get("known") else None,
         settings=vouching(read_settings(json.dumps(settings).encode()), drain_grace),
         classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
         tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -10,7 +10,8 @@
 
 import httptools
 
-from badgercart.config import TOLD, Address
+from badgercart.address import Address
+from badgercart.config import TOLD
 from badgercart.listing import Listing, ListReader
 from badgercart.servers import now_ms
 
--- a/badgercart/listing.py
+++ b/badgercart/listing.py
@@ -15,7 +15,7 @@
 
 import ijson
 
-from badgercart.config import Address, parse_address
+from badgercart.address import Address, parse_address
 from cottonhall.interface import State
 from cottonhall.rows import Rows
 
@@ -95,6 +95,18 @@
         self.head: dict[str, Any] = {}
         self.entries: int | None = None  # so many; None: no list of them has begun
 
+    def listing(self) -> Listing:
+        """All of it, once its object has ended."""
+        try:
+            version, whole = int(self.head["generation"]), bool(self.head["reset"])
+        except (KeyError, TypeError, OverflowError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
+        if self.entries is None:
+            raise ValueError("no instances")
+        if whole and self.twice:
+            raise ValueError(f"server {self.twice} is listed twice")
+        return Listing(version, whole, self.rows, self.named)
+
     def where(self) -> str:
         return "before its entries" if self.entries is None else f"after {self.entries} entries"
 
@@ -188,17 +200,8 @@
 
     def close(self) -> Listing:
         """The list, now that its text has ended."""
-        entries = self.entries
         try:
             self.parser.close()
         except ijson.JSONError:
-            raise ValueError(f"{entries.where()}: the text ends") from None
-        try:
-            version, whole = int(entries.head["generation"]), bool(entries.head["reset"])
-        except (KeyError, TypeError, OverflowError) as error:
-            raise ValueError(f"{type(error).__name__}: {error}") from None
-        if entries.entries is None:
-            raise ValueError("no instances")
-        if whole and entries.twice:
-            raise ValueError(f"server {entries.twice} is listed twice")
-        return Listing(version, whole, entries.rows, entries.named)
+            raise ValueError(f"{self.entries.where()}: the text ends") from None
+        return self.entries.listing()
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import math
 import random
@@ -17,8 +16,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from badgercart.address import Address
 from badgercart.clients import ClientConnection, ClientRequest, Listener, stable_id
-from badgercart.config import Address, Config, ConfigError, reread_discovery
+from badgercart.config import Config, ConfigError, reread_discovery
 from badgercart.discovery import RETRY_GRACE, RETRY_MOST, Discovery
 from badgercart.listing import FORM, Entries, Hosts, Listing, ListReader
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
@@ -122,7 +122,7 @@
             Log: self.log,
             Subscribe: self.subscribe,
         }
-        if config.known.get("instances"):
+        if config.known is not None:
             self.take_known()
 
     # Events in, actions out.
@@ -276,13 +276,14 @@
 
     def take_known(self) -> None:
         """The list that the configuration holds. It may be old."""
-        reader = self.new_reader()
+        assert self.config.known is not None
         try:
-            reader.feed(json.dumps({"reset": True} | self.config.known).encode())
-            listing = reader.close()
+            listing = self.config.known(self.new_reader().entries)
         except ValueError as error:
             log.warning("the known list is malformed: %s", error)
             return
+        if listing is None:
+            return
         for _ in self.slices(listing, "cached"):
             pass
         self.discovery.version = self.discovery.newest = listing.version
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from badgercart.config import Address
+from badgercart.address import Address
 from cottonhall.interface import Result, State
 
 MAX_BODY = 65536
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -143,6 +143,7 @@
 @click.option("--rollout", default=0.0, show_default=True, help="Share of the fleet replaced each second.")
 @click.option("--zone-lost", type=float, help="Seconds after which a zone goes at once.")
 @click.option("--group", default=7900, show_default=True, help="Nodes of the fleet that it believes in.")
+@click.option("--known", is_flag=True, help="Its configuration holds the list from before.")
 @click.option("--root", default=ROOT, show_default="this version", help="Checkout whose node is measured.")
 @json_option
 def node_command(
@@ -152,6 +153,7 @@
     rollout: float,
     zone_lost: float | None,
     group: int,
+    known: bool,
     root: str,
     file: str | None,
 ) -> None:
@@ -160,7 +162,7 @@
     rows = []
     for servers in track(sizes(text), "nodes", console=notes, transient=True):
         plan = Plan(servers, rate, rollout, zone_lost)
-        rows.append(asdict(uvloop.run(process.measure(plan, seconds, command, root, group))))
+        rows.append(asdict(uvloop.run(process.measure(plan, seconds, command, root, group, known))))
     show(f"a node of {group}, {rate:g} changes a second", rows, file)
 
 
--- a/bench/process.py
+++ b/bench/process.py
@@ -23,7 +23,7 @@
 import psutil
 from hdrh.histogram import HdrHistogram
 
-from bench.fleet import node_config
+from bench.fleet import node_config, whole_list
 from bench.standin import Plan
 
 ASK_EVERY = 0.01  # s between calls of GET /_health
@@ -97,12 +97,16 @@
 
 @asynccontextmanager
 async def node(
-    discovery: int, command: list[str], root: str, **changes: int
+    discovery: int, command: list[str], root: str, group: int, known: int
 ) -> AsyncIterator[tuple[Other, int]]:
+    """Started; its configuration holds a list of so many servers."""
     port = free_port()
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
-        path.write_text(json.dumps(node_config(discovery, port, **changes)))
+        text = json.dumps(node_config(discovery, port, group=group)).encode()
+        if known:
+            text = text[:-1] + b',"known":' + b"".join(whole_list(known, 1)) + b"}"
+        path.write_bytes(text)
         process = await asyncio.create_subprocess_exec(
             *command, env=os.environ | {"ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE, cwd=root
         )
@@ -178,11 +182,14 @@
     return histogram
 
 
-async def measure(plan: Plan, seconds: float, command: list[str], root: str, group: int) -> Measured:
-    """One node, from its start to some seconds after it is ready."""
+async def measure(
+    plan: Plan, seconds: float, command: list[str], root: str, group: int, known: bool = False
+) -> Measured:
+    """One node, from its start to some seconds after it is ready; it may know the list from before."""
+    held = plan.servers if known else 0
     async with (
         standin(plan) as (agent, discovery),
-        node(discovery, command, root, group=group) as (one, port),
+        node(discovery, command, root, group, held) as (one, port),
     ):
         began, process = time.time(), psutil.Process(one.process.pid)
         health = Health(port)
--- a/tests/net.py
+++ b/tests/net.py
@@ -12,6 +12,7 @@
 
 from badgercart.clients import ClientConnection
 from badgercart.config import Config
+from badgercart.listing import Entries, Listing, ListReader
 from badgercart.node import Node
 from badgercart.servers import REST
 from cottonhall.interface import Effect, Outcome, RequestClass, Settings
@@ -204,7 +205,7 @@
         "discovery": ("127.0.0.1", discovery),
         "seed": 1,
         "sockets": 1024,
-        "known": {},
+        "known": None,
         "settings": Settings(classes=classes, may_cancel=True, max_attempts=attempts, max_retry_after=600.0),
         "classes": {name.encode(): i for i, name in enumerate(CLASSES)},
         "tenants": {},
@@ -278,7 +279,12 @@
     """A node that knows these servers as s-1, s-2 and so on."""
     entries = [peer.entry(f"s-{i}") for i, peer in enumerate(peers, 1)]
     agent = await Agent(entries).start()
-    known = {"generation": 1, "reset": True, "instances": entries}
+
+    def known(unread: Entries) -> Listing:
+        reader = ListReader(unread)
+        reader.feed(json.dumps({"generation": 1, "reset": True, "instances": entries}).encode())
+        return reader.close()
+
     node = Node(config(agent.port, **{"known": known} | changes), asyncio.get_running_loop())
     stand = Stand(node, agent)
     node.start()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -82,10 +82,8 @@
     assert "discovery: TimeoutError; the list stays as it is" in caplog.text
 
 
-@pytest.mark.parametrize("known", [None, {}], ids=["watch", "whole"])
-def test_a_list_that_drips_and_never_ends_is_given_up(
-    known: dict[str, object] | None, monkeypatch: pytest.MonkeyPatch
-) -> None:
+@pytest.mark.parametrize("known", [True, False], ids=["watch", "whole"])
+def test_a_list_that_drips_and_never_ends_is_given_up(known: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "SILENCE", 0.2)
     monkeypatch.setattr(discovery, "LIST_TIME", 0.2)
 
@@ -99,7 +97,7 @@
     monkeypatch.setattr(Agent, "serve", drip)
 
     async def test() -> None:
-        changes = {} if known is None else {"known": known}
+        changes = {} if known else {"known": None}
         async with running(await Peer().start(), **changes) as stand:
             first = await asyncio.wait_for(stand.agent.calls.get(), WAIT)
             assert await asyncio.wait_for(stand.agent.calls.get(), WAIT) == first
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,6 +17,9 @@
 import pytest
 import uvloop
 
+from badgercart.config import read_config
+from badgercart.listing import Entries, Hosts
+from bench.fleet import entry
 from tests.net import WAIT, Agent, Client, Peer, field, held_back, request
 from tests.test_wire import SETTINGS
 
@@ -60,6 +63,27 @@
     assert words in done.stderr and done.stderr.count("\n") == 1
 
 
+@pytest.mark.parametrize(
+    ("known", "servers"),
+    [
+        ({"generation": 4, "reset": True, "instances": [entry(1), entry(2)]}, 2),
+        ({"generation": 4, "reset": True, "instances": []}, None),
+        ({}, None),
+        (None, None),
+    ],
+)
+def test_a_known_list_is_read_apart_from_the_settings(
+    tmp_path: Path, known: Any, servers: int | None
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"known": known} | raw_config() | {"other": {"known": {"instances": 7}}}))
+    config = read_config({"ROUTER_CONFIG": str(path)})
+    assert config.settings.classes[0].aim == 5000.0
+    unread = Entries(lambda name: int(name[2:], 16), lambda name: 0, {}, Hosts(), 9)
+    listing = config.known(unread) if config.known else None
+    assert (listing and (listing.version, len(listing.rows))) == (servers and (4, servers))
+
+
 class Process:
     """The node as a program of its own, with what it logs."""
 
