Grow the wait where a watch brings the same spoilt line again

Cause: a sound whole list set the wait back to 50 ms, and where the watch after it began with a spoilt line the whole list, 14 MB at the size, was fetched again every 25 to 75 ms without end. Now the wait, up to 3 s before chance, is set back by a watch that has stood for 3 s, or where nothing was spoilt. An answer with no text at all is a spoilt list too, not a version of None.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -94,7 +94,9 @@
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
         self.newest: int | None = None  # the last version that was, at this address
         self.behind = 0  # whole lists in a row that were older than that
-        self.spoilt = 0  # lists in a row that could not be taken
+        # Lists that could not be taken since a watch last stood for a while: what is sound may be followed by
+        # the same spoilt line again and again.
+        self.spoilt = 0
         self.told = ""  # the last failure
         self.retry, self.retry_most = RETRY_FIRST, retry_most
         self.failing = False
@@ -148,6 +150,7 @@
             body, clock, list_reader = Body(), asyncio.get_running_loop().time, self.new_reader()
             # Only what is whole shows that the other side is well, not each byte that drips from it.
             began, patience, counted = clock(), FIRST_BYTE, 0
+            opened = began
             while not body.complete:
                 end = began + (LIST_TIME if whole else SILENCE) + (body.received - counted) / LIST_RATE
                 data = await body.more(reader, min(patience, end - clock()))
@@ -155,10 +158,14 @@
                 *lines, rest = (data,) if whole else data.split(b"\n")
                 for line in lines:
                     await self.take(list_reader, line)
+                    if not self.spoilt or clock() > opened + SPOILT_MOST:
+                        self.retry, self.spoilt = RETRY_FIRST, 0
                     list_reader, began, counted = self.new_reader(), clock(), body.received
                 self.read(list_reader, rest)
                 await asyncio.sleep(0)
-            if whole or list_reader.begun:
+            if whole and not list_reader.begun:
+                self.malformed(ValueError("no text"))
+            if list_reader.begun:
                 await self.take(list_reader, b"")
             if not whole:
                 raise DiscoveryError("the watch ended")
@@ -183,11 +190,10 @@
                 self.malformed(error)
             await self.on_list(listing)
             self.version = self.newest = listing.version
-            self.behind = self.spoilt = 0
+            self.behind = 0
         if self.failing:
             self.on_lost(None)
         self.heard, self.failing = now_ms(), False
-        self.retry = RETRY_FIRST
 
     def check(self, listing: Listing) -> None:
         """An older list must not be taken for a newer one, for good where discovery counts anew."""
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -237,6 +237,30 @@
     run_loop(test())
 
 
+def test_a_watch_whose_first_line_is_spoilt_brings_no_loop_of_whole_lists(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    slept: list[float] = []
+    sleep = asyncio.sleep
+
+    async def at_once(delay: float) -> None:
+        if delay:
+            slept.append(delay)
+        await sleep(0)
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            async with asyncio.timeout(WAIT):
+                while len(slept) < 12:
+                    stand.agent.lines.put_nowait(b'{"generation":2,"reset":false,"instances":[{}]}\n')
+                    await stand.agent.calls.get()
+            assert len(stand.listed()) == 1
+
+    monkeypatch.setattr(discovery.asyncio, "sleep", at_once)
+    run_loop(test())
+    assert slept[0] < 0.1 and min(slept[8:]) >= discovery.SPOILT_MOST / 2
+
+
 def test_a_generation_that_goes_back_is_not_taken_until_discovery_stays_with_it(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
