--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,7 +4,6 @@
 
 import json
 from collections.abc import Iterator
-from dataclasses import replace
 from typing import Any
 
 from badgercart.clients import stable_id
@@ -116,7 +115,3 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "settings": raw_settings(me=me, group=group),
     }
-
-
-def with_state(row: ServerEntry, state: State) -> ServerEntry:
-    return replace(row, state=state)
