Compute the chance that all nodes push a cold server over, by their number

python -m bench chance: 5, 30, 200 and 7,900 nodes, 5 requests a window, N 7.5, 15 borne, after four quiet windows.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -216,6 +216,18 @@
     show(f"{rate:g} requests/s, {servers} servers, multiple {multiple:g}, {lost:g} lost", rows, file)
 
 
+@main.command("chance")
+@click.option("--nodes", "text", default="5,30,200,7900", show_default=True)
+@click.option("--taken", default=5.0, show_default=True, help="Requests in a window, on average.")
+@click.option("--multiple", default=3.0, show_default=True, help="Of the settings: what tips a server.")
+@click.option("--quiet", default=4.0, show_default=True, help="Windows in which nothing was sent.")
+@json_option
+def chance_command(text: str, taken: float, multiple: float, quiet: float, file: str | None) -> None:
+    """How likely all nodes together send a cold server too much, by the binomial distribution."""
+    rows = [asdict(cold_bench.chance(nodes, taken, multiple, quiet)) for nodes in sizes(text)]
+    show("chance of more than N + 2 root N + 2 in one window", rows, file)
+
+
 @main.command("stretch")
 @click.option("--servers", default=95_000, show_default=True)
 @click.option("--nodes", default=7_900, show_default=True)
--- a/bench/cold.py
+++ b/bench/cold.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+from bisect import bisect_left
 from collections import deque
 from dataclasses import dataclass, replace
 
@@ -26,6 +27,7 @@
     Settings,
     State,
 )
+from cottonhall.rules import GOLDEN
 
 WARM = 20_000.0  # ms of steady traffic before the server starts
 QUIET, BURST = 4_000.0, 4_000.0  # ms of a fifth of the traffic, then of twice as much
@@ -118,3 +120,46 @@
                 if len(sent) / bound(can) > worst:
                     worst, most, allowed = len(sent) / bound(can), len(sent), can
     return Worst(nodes, most, allowed, bound(allowed), over)
+
+
+@dataclass(frozen=True)
+class Chance:
+    """How likely more comes in one window than a server bears, were the nodes' turns spread by chance."""
+
+    nodes: int
+    taken: float  # requests in a window that all nodes' turns allow, on average
+    allowed: float  # N
+    saved: float  # each node keeps a turn for as long as it takes, and all are used at once
+    lapsing: float  # a turn lapses as in the module
+    spread_most: int  # as there, and the turns as evenly spread as there: the most that come at once
+    borne: float
+
+
+def above(nodes: int, ready: float, limit: float) -> float:
+    """Of so many nodes that each send with the same chance, `ready` on average: more than the limit do."""
+    p = min(1.0, ready / nodes)
+    if p == 1.0:
+        return float(nodes > limit)
+    terms = []
+    for k in range(nodes + 1):
+        ways = math.lgamma(nodes + 1) - math.lgamma(k + 1) - math.lgamma(nodes - k + 1)
+        terms.append(math.exp(ways + k * math.log(p) + (nodes - k) * math.log1p(-p)))
+    return sum(term for k, term in enumerate(terms) if k > limit)
+
+
+def chance(nodes: int, taken: float, multiple: float, quiet: float) -> Chance:
+    """After so many windows in which nothing was sent."""
+    allowed = taken * multiple / 2
+    spare = max(allowed - taken, 0.0) + math.sqrt(allowed) + 1
+    limit = bound(allowed)
+    ready = taken + min(spare, taken * quiet)
+    saved = above(nodes, taken * (1 + quiet), limit)
+    most = most_at_once(nodes, min(1.0, ready / nodes))
+    return Chance(nodes, taken, allowed, saved, above(nodes, ready, limit), most, limit)
+
+
+def most_at_once(nodes: int, share: float) -> int:
+    """Of turns at multiples of the golden ratio, less their whole part: the most in a share of the round."""
+    places = sorted(me * GOLDEN % 1.0 for me in range(nodes))
+    round_twice = places + [place + 1.0 for place in places]
+    return max(bisect_left(round_twice, place + share) - i for i, place in enumerate(places))
