--- a/review/common.py
+++ b/review/common.py
@@ -232,13 +232,14 @@
         self.instances = {server.name: server.entry() for server in servers}
         self.crowded = False
         """Whether the queue is so long that each call waits until it fails."""
-        self.silent = False
-        """Whether the open watches have fallen silent: they stay open, and nothing comes on them any more."""
+        self.quiet_start = False
+        """Whether a watch begins with an empty line if nothing has changed, not with an object."""
         self.told: dict[int, float] = {}
         """For each version, when it was first written on a watch or in an answer."""
         self._record = record
         self._log: list[tuple[int, list[dict[str, Any]]]] = []  # changes with their generation
         self._watchers: dict[asyncio.StreamWriter, asyncio.Event] = {}
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> Discovery:
         """Listen on a free port."""
@@ -263,6 +264,10 @@
         for event in self._watchers.values():
             event.set()
 
+    def silence_watches(self) -> None:
+        """Let the open watches fall silent: they stay open, and nothing comes on them any more."""
+        self._silent = set(self._watchers)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
@@ -290,20 +295,11 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         event = self._watchers[writer] = asyncio.Event()
         closed = asyncio.ensure_future(reader.read())
+        is_first = not self.quiet_start
         try:
-            while not closed.done():
-                if self.silent:
-                    await closed
-                    return
-                line = b""
-                entries = [entry for number, changed in self._log if number > version for entry in changed]
-                if entries:
-                    version = self.generation
-                    change = {"generation": version, "reset": False, "instances": entries}
-                    line = json.dumps(change).encode()
-                    self._record.write(f"discovery wrote version {version} on a watch")
-                    self.told.setdefault(version, self._record.now())
-                line += b"\n"
+            while not closed.done() and writer not in self._silent:
+                line = self._changes_after(version, always=is_first)
+                version, is_first = self.generation, False
                 writer.write(b"%x\r\n%b\r\n" % (len(line), line))
                 event.clear()
                 waiting = asyncio.ensure_future(event.wait())
@@ -311,10 +307,21 @@
                     {waiting, closed}, timeout=HEARTBEAT_S, return_when=asyncio.FIRST_COMPLETED
                 )
                 waiting.cancel()
+            await closed
         finally:
             closed.cancel()
             del self._watchers[writer]
 
+    def _changes_after(self, version: int, always: bool) -> bytes:
+        """Return the line with the changes after a version; without any, an empty line unless ``always``."""
+        entries = [entry for number, changed in self._log if number > version for entry in changed]
+        if not entries and not always:
+            return b"\n"
+        self._record.write(f"discovery wrote {len(entries)} entries of version {self.generation} on a watch")
+        self.told.setdefault(self.generation, self._record.now())
+        change = {"generation": self.generation, "reset": False, "instances": entries}
+        return json.dumps(change).encode() + b"\n"
+
 
 def free_port() -> int:
     """Return a port of 127.0.0.1 that is free now."""
