--- a/review/1/case.py
+++ b/review/1/case.py
@@ -81,15 +81,17 @@
             *(str(node.port), str(PEERS), str(CROWD_S)),
             stdout=asyncio.subprocess.PIPE,
         )
-    await asyncio.sleep(CROWD_BEFORE_S)
-    answered: dict[str, float] = {}
-    requests = [asyncio.create_task(send_request(node, record, answered)) for _ in range(REQUESTS)]
-    await asyncio.sleep(SENT_BEFORE_S)
-    await shut_down(node, record)
-    sent = dict(await asyncio.gather(*requests))
-    if crowd is not None:
-        output, _ = await crowd.communicate()
-        record.write(f"crowd: {output.decode().strip()}")
+    try:
+        await asyncio.sleep(CROWD_BEFORE_S)
+        answered: dict[str, float] = {}
+        requests = [asyncio.create_task(send_request(node, record, answered)) for _ in range(REQUESTS)]
+        await asyncio.sleep(SENT_BEFORE_S)
+        await shut_down(node, record)
+        sent = dict(await asyncio.gather(*requests))
+    finally:
+        if crowd is not None:
+            output, _ = await crowd.communicate()  # it ends by itself after CROWD_S
+            record.write(f"crowd: {output.decode().strip()}")
     forwarded = {request_id for server in servers for _, request_id, _ in server.received}
     if not forwarded:
         raise common.CouldNotRunError("no request was forwarded")
