--- a/load_balancer/proxy/graceful_shutdown.py
+++ b/load_balancer/proxy/graceful_shutdown.py
@@ -47,7 +47,10 @@
     # A client whose connection is closed opens its next connection to another node.
     listener.close_idle_connections()
     await asyncio.sleep(ACCEPT_PERIOD_S)
+    table = listener.connections
+    logger.info("closing the listening socket: %d of %d client connections open", len(table), table.limit)
     listener.stop_accepting()
+    logger.info("listening socket closed: %d requests in flight", len(requests.pending))
     while listener.connections and now_ms() < stop_at:
         listener.close_idle_connections()
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/tests/proxy/test_graceful_shutdown.py
+++ b/tests/proxy/test_graceful_shutdown.py
@@ -35,6 +35,9 @@
                 status, head, _ = await client.receive()
                 assert (status, header(head, b"Connection")) == (200, b"close")
                 client.writer.close()
+            # The log shows which step a shutdown has reached.
+            await node.next_line(r"closing the listening socket: \d of 620 client connections open")
+            await node.next_line(r"listening socket closed: \d requests in flight")
             assert await asyncio.wait_for(node.process.wait(), TIMEOUT_S) == 0
 
     uvloop.run(test())
