Return to the event loop while the backlog is accepted at SIGTERM

Cause: Listener.stop_accepting called _accept_batch while a client waited in the backlog, without a return to the event loop. At the limit that method only evicts a connection, which makes room when the event loop has run; so the loop had no end. Ruled out: accepting and evicting through the event loop (the accept period ends), the wait for open connections (never reached), the other loops without an await (each step consumes its input).

Change: stop_accepting waits while the event loop accepts the backlog, for 0.1 s at most, then closes the socket; a client that waits behind idle ones at the limit is still served. It works because evicted connections are lost between the steps, and a crowd that connects again and again meets the time limit. In the old test the call became an await; its asserts are the same.

--- a/load_balancer/proxy/graceful_shutdown.py
+++ b/load_balancer/proxy/graceful_shutdown.py
@@ -49,7 +49,7 @@
     await asyncio.sleep(ACCEPT_PERIOD_S)
     table = listener.connections
     logger.info("closing the listening socket: %d of %d client connections open", len(table), table.limit)
-    listener.stop_accepting()
+    await listener.stop_accepting()
     logger.info("listening socket closed: %d requests in flight", len(requests.pending))
     while listener.connections and now_ms() < stop_at:
         listener.close_idle_connections()
--- a/load_balancer/proxy/listener.py
+++ b/load_balancer/proxy/listener.py
@@ -26,6 +26,9 @@
 ACCEPT_RETRY_DELAY_S = NEW_CONNECTION_GRACE_S  # a connection too new to evict can be evicted after this time
 ACCEPT_BATCH_SIZE = 64  # connections per iteration of the event loop, so that open ones are served too
 LISTEN_BACKLOG = 1024  # connections that are not accepted yet
+# Time to accept the backlog before the listening socket is closed. The backlog does not become empty while
+# more clients keep connecting than the limit allows.
+BACKLOG_TIMEOUT_S = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -77,24 +80,39 @@
         host, port = self.socket.getsockname()[:2]
         return host, port
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket, after accepting its backlog: closing resets connections left in it."""
-        if self.socket is not None:
-            poll = select.poll()
-            poll.register(self.socket, select.POLLIN)
-            while self.accepting and poll.poll(0):
-                self._accept_batch()
-            self.pause_accepting()
-            self.socket.close()
-            self.socket = None
+    async def stop_accepting(self) -> None:
+        """Close the listening socket, after accepting its backlog for up to ``BACKLOG_TIMEOUT_S``.
+
+        Closing the socket resets connections that are left in the backlog.
+        """
+        stop_at = self.loop.time() + BACKLOG_TIMEOUT_S
+        while self.accepting and self._has_backlog() and self.loop.time() < stop_at:
+            # The event loop accepts the clients. It also has to run for an evicted connection to be lost,
+            # which makes room at the limit.
+            await asyncio.sleep(0)
+        if self._has_backlog():
+            logger.warning("the listening socket is closed with clients in its backlog")
+        self._close_socket()
 
     def close(self) -> None:
         """Close the listening socket and stop the sweep; connections are neither accepted nor closed."""
-        self.pause_accepting()  # first, so that stop_accepting does not accept the backlog
-        self.stop_accepting()
+        self._close_socket()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
 
+    def _has_backlog(self) -> bool:
+        if self.socket is None:
+            return False
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def _close_socket(self) -> None:
+        self.pause_accepting()
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+
     def close_idle_connections(self) -> None:
         """Close connections without a request, except those whose client may have sent one."""
         unused = self.connections.in_state_longer_than(ConnectionState.CONNECTED, NEW_CONNECTION_GRACE_S)
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import socket
 from typing import Any
 
 import pytest
@@ -12,9 +13,25 @@
 from load_balancer.proxy import listener as listener_module
 from load_balancer.proxy.connection_table import ConnectionState
 from tests.proxy.harness import run, running_node
+from tests.proxy.race_helpers import connect_raw
 from tests.proxy.stubs import TIMEOUT_S, UpstreamStub, header, make_request, respond_after
 
 
+class ExhaustedSocket:
+    """Listening socket whose ``accept`` fails for lack of descriptors; ``accept_calls`` counts the calls."""
+
+    def __init__(self, real_socket: socket.socket | None, accept_calls: asyncio.Queue[int]) -> None:
+        self.real_socket = real_socket
+        self.accept_calls = accept_calls
+
+    def accept(self) -> None:
+        self.accept_calls.put_nowait(1)
+        raise OSError(errno.EMFILE, "too many open files")
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real_socket, name)
+
+
 def test_connections_close_after_their_response_when_many_are_idle() -> None:
     # Before connections closed in this way, clients that sent one request and kept their connection open used
     # up the limit: with 128 idle connections, 6 in 10 of a day's requests were never accepted.
@@ -62,16 +79,7 @@
         async with running_node(await UpstreamStub().start()) as harness:
             listener = harness.node.listener
             real_socket, accept_calls = listener.socket, asyncio.Queue[int]()
-
-            class ExhaustedSocket:
-                def accept(self) -> None:
-                    accept_calls.put_nowait(1)
-                    raise OSError(errno.EMFILE, "too many open files")
-
-                def __getattr__(self, name: str) -> Any:
-                    return getattr(real_socket, name)
-
-            monkeypatch.setattr(listener, "socket", ExhaustedSocket())
+            monkeypatch.setattr(listener, "socket", ExhaustedSocket(real_socket, accept_calls))
             client = await harness.connect()
             client.writer.write(make_request())
             await asyncio.wait_for(accept_calls.get(), TIMEOUT_S)
@@ -83,6 +91,20 @@
     run(test())
 
 
+def test_descriptor_exhaustion_does_not_hold_up_the_close_of_the_listening_socket(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with running_node(await UpstreamStub().start()) as harness:
+            listener, accept_calls = harness.node.listener, asyncio.Queue[int]()
+            monkeypatch.setattr(listener, "socket", ExhaustedSocket(listener.socket, accept_calls))
+            with connect_raw(harness):
+                await asyncio.wait_for(listener.stop_accepting(), TIMEOUT_S)
+            assert accept_calls.qsize() == 1 and listener.socket is None
+
+    run(test())
+
+
 def test_clients_without_a_complete_request_time_out(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         async with running_node(await UpstreamStub().start()) as harness:
--- a/tests/proxy/test_shutdown_races.py
+++ b/tests/proxy/test_shutdown_races.py
@@ -10,13 +10,21 @@
 
 import pytest
 
-from load_balancer.proxy import graceful_shutdown
+from load_balancer.proxy import eviction, graceful_shutdown
 from load_balancer.proxy import listener as listener_module
 from load_balancer.proxy.connection_table import ConnectionState
 from load_balancer.proxy.listener import Listener
 from tests.proxy.harness import make_config, run, running_node
 from tests.proxy.race_helpers import connect_raw, wait_until
-from tests.proxy.stubs import TIMEOUT_S, RawClient, UpstreamStub, header, make_request, never_respond
+from tests.proxy.stubs import (
+    TIMEOUT_S,
+    RawClient,
+    UpstreamStub,
+    header,
+    make_request,
+    never_respond,
+    respond_after,
+)
 
 
 def evict(listener: Listener) -> None:
@@ -50,13 +58,60 @@
             harness.node.shutting_down = True
             client_socket = connect_raw(harness)
             client_socket.sendall(make_request())
-            harness.node.listener.stop_accepting()
+            await harness.node.listener.stop_accepting()
             client = RawClient(*await asyncio.open_connection(sock=client_socket))
             assert (await client.receive())[0] == 200
 
     run(test())
 
 
+def test_client_that_waits_behind_idle_ones_at_the_limit_is_served_when_the_listener_stops(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(eviction, "NEW_CONNECTION_GRACE_S", 0.0)
+
+    async def test() -> None:
+        async with running_node(await UpstreamStub().start(), max_descriptors=96) as harness:
+            listener = harness.node.listener
+            table = listener.connections
+            idle_clients = [await harness.connect() for _ in range(table.limit)]
+            await wait_until(lambda: len(table.in_state(ConnectionState.CONNECTED)) == table.limit)
+            harness.node.shutting_down = True
+            client_socket = connect_raw(harness)
+            client_socket.sendall(make_request())
+            await listener.stop_accepting()
+            client = RawClient(*await asyncio.open_connection(sock=client_socket))
+            assert (await client.receive())[0] == 200
+            assert await idle_clients[0].read_to_end() == b""  # evicted
+            assert len(table) <= table.limit
+
+    run(test())
+
+
+def test_listener_stops_while_clients_in_its_backlog_can_not_be_accepted(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # All connections serve a request, so none can be evicted; the client in the backlog is reset.
+    release = asyncio.Event()
+
+    async def test() -> None:
+        async with running_node(await UpstreamStub(respond_after(release)).start()) as harness:
+            listener = harness.node.listener
+            listener.connections.limit = 1
+            busy_client = await harness.connect()
+            busy_client.writer.write(make_request())
+            await wait_until(lambda: bool(harness.node.requests.pending))
+            waiting_client = RawClient(*await asyncio.open_connection(sock=connect_raw(harness)))
+            await asyncio.wait_for(listener.stop_accepting(), TIMEOUT_S)
+            with pytest.raises(ConnectionResetError):
+                await waiting_client.read_to_end()
+            release.set()
+            assert (await busy_client.receive())[0] == 200
+
+    run(test())
+    assert "the listening socket is closed with clients in its backlog" in caplog.text
+
+
 def test_request_late_in_a_graceful_shutdown_gets_a_response_before_sigkill(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
