Tell a silent watch from a failed call in the log, and count failures by type

A timeout on an open watch is a WatchSilentError now. Of consecutive failures each new reason is logged (the rate limit of warnings still holds), the next contact is logged with the time without one, and failures are counted by the type of their error in the report of the counters.

--- a/load_balancer/proxy/discovery_client.py
+++ b/load_balancer/proxy/discovery_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -13,9 +14,15 @@
 from load_balancer.proxy.backoff import Backoff
 from load_balancer.proxy.clock import now_ms
 from load_balancer.proxy.config import NOTIFIED_AFTER_S
-from load_balancer.proxy.discovery_response import ResponseTimeouts, open_response
+from load_balancer.proxy.discovery_response import DiscoveryResponse, ResponseTimeouts, open_response
 from load_balancer.proxy.endpoint_decoder import DiscoveryUpdate, UpdateDecoder
-from load_balancer.proxy.errors import DiscoveryError, EndpointListError, StaleVersionError, WatchEndedError
+from load_balancer.proxy.errors import (
+    DiscoveryError,
+    EndpointListError,
+    StaleVersionError,
+    WatchEndedError,
+    WatchSilentError,
+)
 
 MEMBERS_PATH = "/catalog/members"
 
@@ -78,6 +85,7 @@
         self.version: int | None = None  # version of the current list, or None if a snapshot is needed
         self.last_contact_at = now_ms()
         self.is_failing = False
+        self.failure_counts: Counter[str] = Counter()  # by type of error; whoever reports them clears them
         self._new_decoder = new_decoder
         self._on_update = on_update
         self._on_availability_change = on_availability_change
@@ -85,7 +93,7 @@
         self._newest_version: int | None = None  # version of the last update from this address
         self._stale_snapshots = 0  # consecutive snapshots below the newest version
         self._rejected_updates = 0  # number of rejections since a watch was last stable
-        self._last_failure_reason = ""
+        self._last_failure_reason = ""  # empty after contact
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -114,6 +122,7 @@
             self.last_contact_at, now_ms() - (NOTIFIED_AFTER_S - NOTIFIED_AFTER_RELOAD_S) * 1000
         )
         self._backoff.reset()
+        self._last_failure_reason = ""
         self.is_failing = False
         self.start()
 
@@ -127,9 +136,9 @@
                 # The rejected update may have held a change, which only a snapshot can recover.
                 self.version = None
                 self._rejected_updates += 1
-                self._record_failure(f"update rejected: {error}")
+                self._record_failure(error, f"update rejected: {error}")
             except (OSError, DiscoveryError, httptools.HttpParserError) as error:
-                self._record_failure(str(error) or type(error).__name__)
+                self._record_failure(error, str(error) or type(error).__name__)
             except Exception:
                 # If this task ended, the node would never update its endpoint list again.
                 logger.exception("discovery: unexpected exception; fetching a snapshot")
@@ -137,21 +146,24 @@
             maximum = BACKOFF_MAX_REJECTED_S if self._rejected_updates > 1 else None
             await asyncio.sleep(self._backoff.next_delay(maximum))
 
-    def _record_failure(self, reason: str) -> None:
-        # The first of a series of failures is logged, and so is each rejection whose reason differs from the
-        # previous reason.
-        if not self.is_failing or (self._rejected_updates and reason != self._last_failure_reason):
-            host, port = self.address
-            logger.warning("discovery at %s:%d: %s; keeping the current endpoint list", host, port, reason)
+    def _record_failure(self, error: Exception, reason: str) -> None:
+        self.failure_counts[f"discovery failures {type(error).__name__}"] += 1
+        # Of consecutive failures, those whose reason differs from the previous reason are logged.
+        if reason != self._last_failure_reason:
+            logger.warning("discovery at %s:%d: %s; keeping the current endpoint list", *self.address, reason)
         if not self.is_failing:
             self._on_availability_change(self.last_contact_at)
         self._last_failure_reason = reason
         self.is_failing = True
 
     def _record_contact(self) -> None:
+        now = now_ms()
         if self.is_failing:
+            elapsed = now - self.last_contact_at
+            logger.info("discovery at %s:%d: contact again after %.0f ms", *self.address, elapsed)
             self._on_availability_change(None)
-        self.last_contact_at = now_ms()
+        self.last_contact_at = now
+        self._last_failure_reason = ""
         self.is_failing = False
 
     async def _fetch_snapshot(self) -> None:
@@ -176,7 +188,7 @@
             decoder = self._new_decoder()
             while not response.is_complete:
                 # Each part but the last completes a line; the last begins the next line.
-                *line_ends, next_line_start = (await response.read()).split(b"\n")
+                *line_ends, next_line_start = (await _read_watch(response)).split(b"\n")
                 for line_end in line_ends:
                     decoder.feed(line_end)
                     await self._finish_line(decoder)
@@ -227,3 +239,18 @@
         logger.warning(
             "discovery restarted its version numbers: version %d accepted after %d", update.version, newest
         )
+
+
+async def _read_watch(response: DiscoveryResponse) -> bytes:
+    """Read more of a watch.
+
+    Raises:
+        WatchSilentError: The watch is open, and brought no complete line in time.
+        TimeoutError: The call for the watch had no response in time.
+    """
+    try:
+        return await response.read()
+    except TimeoutError:
+        if response.begun_at is None:
+            raise
+        raise WatchSilentError from None
--- a/load_balancer/proxy/discovery_response.py
+++ b/load_balancer/proxy/discovery_response.py
@@ -10,6 +10,7 @@
 import httptools
 
 from load_balancer.proxy.address import Address
+from load_balancer.proxy.clock import now_ms
 from load_balancer.proxy.errors import ConnectionClosedError, ResponseStatusError
 
 READ_SIZE = 8192  # bytes; decoding them takes some ms at most, during which no other task runs
@@ -37,6 +38,8 @@
 
     def __init__(self, reader: asyncio.StreamReader, timeouts: ResponseTimeouts) -> None:
         self.is_complete = False
+        self.begun_at: float | None = None
+        """Time in ms at which the status 200 was received, or None."""
         self._reader = reader
         self._timeouts = timeouts
         self._parser = httptools.HttpResponseParser(self)
@@ -68,6 +71,8 @@
         status = self._parser.get_status_code()
         if status not in (_STATUS_UNKNOWN, _STATUS_OK):
             raise ResponseStatusError(status)
+        if self.begun_at is None and status == _STATUS_OK:
+            self.begun_at = now_ms()
         self._next_read_timeout = self._timeouts.read
         body, self._body = bytes(self._body), bytearray()
         return body
--- a/load_balancer/proxy/errors.py
+++ b/load_balancer/proxy/errors.py
@@ -64,6 +64,13 @@
         super().__init__("discovery ended the watch response")
 
 
+class WatchSilentError(DiscoveryError):
+    """An open watch brought no complete line in time, though discovery sends heartbeats."""
+
+    def __init__(self) -> None:
+        super().__init__("the watch fell silent")
+
+
 class EndpointListError(ProxyError):
     """A snapshot or delta of the endpoint list that can't be applied."""
 
--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -102,7 +102,13 @@
         self.endpoint_updater = EndpointUpdater(self.endpoints, self.pool, self.policy_runner.submit)
         self.discovery = self._new_discovery_client()
         self.metrics = MetricsReporter(
-            loop, (self.requests.counters, self.pool.counts, self.policy.unserved_counts)
+            loop,
+            (
+                self.requests.counters,
+                self.pool.counts,
+                self.policy.unserved_counts,
+                self.discovery.failure_counts,
+            ),
         )
         if config.load_cached_endpoints is not None:
             self._apply_cached_endpoints(config.load_cached_endpoints)
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import os
 from dataclasses import replace
 
@@ -65,6 +66,7 @@
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     monkeypatch.setattr(discovery, "WATCH_IDLE_TIMEOUT_S", 0.05)
+    caplog.set_level(logging.INFO)
 
     async def test() -> None:
         async with running_node(await UpstreamStub().start()) as harness:
@@ -72,9 +74,11 @@
                 call = await asyncio.wait_for(harness.discovery.targets.get(), TIMEOUT_S)
                 assert call == "/catalog/members?watch=1&from=1"
             assert harness.node.healthy and harness.endpoint_ids() == {stable_id(b"s-1")}
+            assert harness.node.discovery.failure_counts == {"discovery failures WatchSilentError": 2}
 
     run(test())
-    assert ": TimeoutError; keeping the current endpoint list" in caplog.text
+    assert ": the watch fell silent; keeping the current endpoint list" in caplog.text
+    assert ": contact again after " in caplog.text
 
 
 @pytest.mark.parametrize("has_cached_list", [True, False], ids=["watch", "snapshot"])
@@ -146,7 +150,9 @@
     assert discovery.QUEUE_TIMEOUT_S < discovery.FIRST_BYTE_TIMEOUT_S
 
 
-def test_watch_without_response_times_out_before_the_idle_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_watch_without_response_times_out_before_the_idle_timeout(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     monkeypatch.setattr(discovery, "FIRST_BYTE_TIMEOUT_S", 0.05)
     monkeypatch.setattr(discovery, "WATCH_IDLE_TIMEOUT_S", 4 * TIMEOUT_S)
 
@@ -164,6 +170,8 @@
                 assert "watch" in await asyncio.wait_for(harness.discovery.targets.get(), TIMEOUT_S)
 
     run(test())
+    # The log tells it from a watch that was open and fell silent.
+    assert caplog.text.count(": TimeoutError; keeping the current endpoint list") == 1
 
 
 def test_policy_is_notified_when_discovery_becomes_unavailable_and_available_again() -> None:
