Use no endpoint of an expired list after a silent watch or a changed address

Callers saw: nothing; endpoints that had left the list did.

Cause: StalenessGuard.may_use took an answer since the last contact for a proof that the endpoint may be used. A draining endpoint rejects requests, a removed one may answer; and a change that a silent watch misses counts as notified after 6 s 'whether or not it arrived'. Evidence: the log now shows 'the watch fell silent', two calls with 503 and 'contact again after 14750 ms', with 200s from all endpoints meanwhile. Ruled out: an update that arrived and was not applied, calls not made or given up too soon, the 30 s after which all endpoints are used again.

Change: the policy gets the kind of the loss (DiscoveryLoss). After a silent watch the list expires at stale_endpoints_limit, whatever endpoints serve, until there is contact. An outage is as before. It works because no proof is taken from endpoints where the change binds the node unseen.

A test of a changed address expects the loss before version 9, in that order.

--- a/load_balancer/policy/engine.py
+++ b/load_balancer/policy/engine.py
@@ -72,6 +72,7 @@
 
     SHED = "shed below the threshold"
     NO_ENDPOINT = "without an eligible endpoint"
+    EXPIRED_LIST = "with an expired endpoint list"
     NO_TIME = "without time to be served"
     NO_ATTEMPTS_LEFT = "without attempts left"
 
@@ -188,7 +189,10 @@
             return
         tracked = self._selector.pick(request, self._now)
         if tracked is None:
-            self._end_unserved(request, UnservedReason.NO_ENDPOINT)
+            is_expired = self._staleness.is_expired(self._now)
+            self._end_unserved(
+                request, UnservedReason.EXPIRED_LIST if is_expired else UnservedReason.NO_ENDPOINT
+            )
             return
         self._send_attempt(request, tracked, typical_latency)
 
@@ -295,7 +299,7 @@
     # Endpoint list.
 
     def _on_endpoint_update(self, event: EndpointUpdate) -> None:
-        retry_in = self._staleness.update(event.kind, event.last_contact_at, self._now)
+        retry_in = self._staleness.update(event, self._now)
         if retry_in is not None:
             self._commands.append(SetTimer(retry_in, WATCH_TIMER_TOKEN))
         if event.kind is UpdateKind.UNAVAILABLE:
--- a/load_balancer/policy/events.py
+++ b/load_balancer/policy/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import Enum, IntEnum, auto
 
 from load_balancer.policy.endpoints import Endpoint
 
@@ -21,6 +21,17 @@
     """Discovery can't be reached: a call failed or the watch broke. The current list stays in use."""
 
 
+class DiscoveryLoss(Enum):
+    """How contact with discovery was lost; it decides when the node counts as notified of missed changes."""
+
+    UNREACHABLE = auto()
+    """The watch or a call ended: discovery may be down, and notifies the node only when it is back."""
+    WATCH_SILENT = auto()
+    """The watch stayed open without a heartbeat: the node counts as notified after a fixed time."""
+    ADDRESS_CHANGED = auto()
+    """The configuration names another discovery service, which has not answered yet: as WATCH_SILENT."""
+
+
 class AttemptResult(IntEnum):
     """Result of an attempt. The values are part of the simulator's wire format."""
 
@@ -56,7 +67,12 @@
     """Version of the endpoint list."""
     endpoints: list[Endpoint]
     last_contact_at: float | None = None
-    """For UNAVAILABLE and CACHED_SNAPSHOT: time in ms of the last contact with discovery, or None for now."""
+    """For UNAVAILABLE and CACHED_SNAPSHOT: time in ms of the last contact with discovery, or None for now.
+
+    If ``loss`` is ADDRESS_CHANGED, the time from which the age of the list counts then.
+    """
+    loss: DiscoveryLoss = DiscoveryLoss.UNREACHABLE
+    """For UNAVAILABLE: how contact with discovery was lost."""
 
 
 @dataclass(slots=True)
--- a/load_balancer/proxy/discovery_client.py
+++ b/load_balancer/proxy/discovery_client.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from load_balancer.policy.events import DiscoveryLoss
 from load_balancer.proxy.address import Address
 from load_balancer.proxy.backoff import Backoff
 from load_balancer.proxy.clock import now_ms
@@ -67,8 +68,9 @@
         new_decoder: Returns a decoder for one update.
         on_update: Applies an update.
         rng: Random number generator of the backoff.
-        on_availability_change: Called with the time in ms of the last contact when discovery becomes
-            unavailable, and with None when it is available again.
+        on_availability_change: Called when contact with discovery is lost or the kind of the loss changes,
+            with the loss and the time in ms after which changes may have been missed, and with None and the
+            time of the contact when there is contact again.
         max_backoff: Longest delay before a failed call is repeated, in s before jitter.
     """
 
@@ -78,13 +80,13 @@
         new_decoder: Callable[[], UpdateDecoder],
         on_update: Callable[[DiscoveryUpdate], Awaitable[None]],
         rng: random.Random,
-        on_availability_change: Callable[[float | None], None],
+        on_availability_change: Callable[[DiscoveryLoss | None, float], None],
         max_backoff: float = BACKOFF_MAX_S,
     ) -> None:
         self.address = address
         self.version: int | None = None  # version of the current list, or None if a snapshot is needed
         self.last_contact_at = now_ms()
-        self.is_failing = False
+        self.loss: DiscoveryLoss | None = None  # how contact was lost, or None after contact
         self.failure_counts: Counter[str] = Counter()  # by type of error; whoever reports them clears them
         self._new_decoder = new_decoder
         self._on_update = on_update
@@ -117,13 +119,11 @@
         self.address = address
         self.version = self._newest_version = None
         self._stale_snapshots = 0
-        # After a reload the node is considered notified sooner, so the list becomes stale that much sooner.
-        self.last_contact_at = min(
-            self.last_contact_at, now_ms() - (NOTIFIED_AFTER_S - NOTIFIED_AFTER_RELOAD_S) * 1000
-        )
         self._backoff.reset()
         self._last_failure_reason = ""
-        self.is_failing = False
+        # After a reload the node is considered notified sooner, so the list expires that much sooner.
+        stale_since = now_ms() - (NOTIFIED_AFTER_S - NOTIFIED_AFTER_RELOAD_S) * 1000
+        self._set_loss(DiscoveryLoss.ADDRESS_CHANGED, stale_since)
         self.start()
 
     async def _run(self) -> None:
@@ -137,6 +137,9 @@
                 self.version = None
                 self._rejected_updates += 1
                 self._record_failure(error, f"update rejected: {error}")
+            except WatchSilentError as error:
+                self._set_loss(DiscoveryLoss.WATCH_SILENT, error.silent_since)
+                self._record_failure(error, str(error))
             except (OSError, DiscoveryError, httptools.HttpParserError) as error:
                 self._record_failure(error, str(error) or type(error).__name__)
             except Exception:
@@ -151,20 +154,24 @@
         # Of consecutive failures, those whose reason differs from the previous reason are logged.
         if reason != self._last_failure_reason:
             logger.warning("discovery at %s:%d: %s; keeping the current endpoint list", *self.address, reason)
-        if not self.is_failing:
-            self._on_availability_change(self.last_contact_at)
         self._last_failure_reason = reason
-        self.is_failing = True
+        # A failed call after another loss does not change when the node counts as notified.
+        if self.loss is None:
+            self._set_loss(DiscoveryLoss.UNREACHABLE, self.last_contact_at)
 
     def _record_contact(self) -> None:
         now = now_ms()
-        if self.is_failing:
+        if self.loss is not None:
             elapsed = now - self.last_contact_at
             logger.info("discovery at %s:%d: contact again after %.0f ms", *self.address, elapsed)
-            self._on_availability_change(None)
         self.last_contact_at = now
         self._last_failure_reason = ""
-        self.is_failing = False
+        self._set_loss(None, now)
+
+    def _set_loss(self, loss: DiscoveryLoss | None, since: float) -> None:
+        if loss is not self.loss:
+            self.loss = loss
+            self._on_availability_change(loss, since)
 
     async def _fetch_snapshot(self) -> None:
         timeouts = ResponseTimeouts(
@@ -188,7 +195,7 @@
             decoder = self._new_decoder()
             while not response.is_complete:
                 # Each part but the last completes a line; the last begins the next line.
-                *line_ends, next_line_start = (await _read_watch(response)).split(b"\n")
+                *line_ends, next_line_start = (await self._read_watch(response)).split(b"\n")
                 for line_end in line_ends:
                     decoder.feed(line_end)
                     await self._finish_line(decoder)
@@ -201,6 +208,20 @@
                 await self._finish_line(decoder)
         raise WatchEndedError
 
+    async def _read_watch(self, response: DiscoveryResponse) -> bytes:
+        """Read more of a watch.
+
+        Raises:
+            WatchSilentError: The watch is open, and brought no complete line in time.
+            TimeoutError: The call for the watch had no response in time.
+        """
+        try:
+            return await response.read()
+        except TimeoutError:
+            if response.begun_at is None:
+                raise
+            raise WatchSilentError(max(response.begun_at, self.last_contact_at)) from None
+
     async def _finish_line(self, decoder: UpdateDecoder) -> None:
         if decoder.has_started:  # an empty line is a heartbeat
             await self._apply(decoder)
@@ -239,18 +260,3 @@
         logger.warning(
             "discovery restarted its version numbers: version %d accepted after %d", update.version, newest
         )
-
-
-async def _read_watch(response: DiscoveryResponse) -> bytes:
-    """Read more of a watch.
-
-    Raises:
-        WatchSilentError: The watch is open, and brought no complete line in time.
-        TimeoutError: The call for the watch had no response in time.
-    """
-    try:
-        return await response.read()
-    except TimeoutError:
-        if response.begun_at is None:
-            raise
-        raise WatchSilentError from None
--- a/load_balancer/proxy/errors.py
+++ b/load_balancer/proxy/errors.py
@@ -67,8 +67,10 @@
 class WatchSilentError(DiscoveryError):
     """An open watch brought no complete line in time, though discovery sends heartbeats."""
 
-    def __init__(self) -> None:
+    def __init__(self, silent_since: float) -> None:
+        """Store the time in ms at which the watch was opened or its last complete line arrived."""
         super().__init__("the watch fell silent")
+        self.silent_since = silent_since
 
 
 class EndpointListError(ProxyError):
--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -26,6 +26,7 @@
 from load_balancer.policy.events import (
     AttemptEnded,
     AttemptResult,
+    DiscoveryLoss,
     EndpointUpdate,
     RequestCancelled,
     TimerFired,
@@ -294,14 +295,17 @@
         await self.endpoint_updater.apply_update(update)
         self.healthy = True
 
-    def _discovery_status_changed(self, last_contact_at: float | None) -> None:
-        """Tell the policy that discovery has become unavailable, or is available again.
+    def _discovery_status_changed(self, loss: DiscoveryLoss | None, since: float) -> None:
+        """Tell the policy how contact with discovery was lost, or with None that there is contact again.
 
-        ``last_contact_at`` is the time in ms of the last contact, or None if discovery is available.
+        ``since`` is the time in ms after which changes of the endpoint list may have been missed.
         """
-        kind = UpdateKind.DELTA if last_contact_at is None else UpdateKind.UNAVAILABLE
         version = self.discovery.version or 0
-        self.policy_runner.submit(EndpointUpdate(kind, version, [], last_contact_at))
+        if loss is None:
+            event = EndpointUpdate(UpdateKind.DELTA, version, [])
+        else:
+            event = EndpointUpdate(UpdateKind.UNAVAILABLE, version, [], since, loss)
+        self.policy_runner.submit(event)
 
     def _apply_cached_endpoints(self, load: Callable[[UpdateBuilder], DiscoveryUpdate | None]) -> None:
         version = self.endpoint_updater.apply_cached_list(load)
--- a/tests/policy/test_staleness.py
+++ b/tests/policy/test_staleness.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
+
 from load_balancer.policy.commands import SetTimer, WatchEndpoints
-from load_balancer.policy.events import AttemptResult, EndpointUpdate, UpdateKind
+from load_balancer.policy.engine import UnservedReason
+from load_balancer.policy.events import AttemptResult, DiscoveryLoss, EndpointUpdate, UpdateKind
 from tests.policy.driver import NOT_IDEMPOTENT, PolicyDriver, endpoint, settings
 
 
@@ -70,3 +73,46 @@
     driver.handle(EndpointUpdate(UpdateKind.UNAVAILABLE, 0, []))
     driver.advance(1300.0)
     assert sum(isinstance(command, WatchEndpoints) for command in driver.commands) > watches
+
+
+@pytest.mark.parametrize("loss", [DiscoveryLoss.WATCH_SILENT, DiscoveryLoss.ADDRESS_CHANGED])
+def test_endpoints_that_go_on_to_serve_are_not_used_once_the_list_has_expired(loss: DiscoveryLoss) -> None:
+    # Guards against attempts at an endpoint that was removed and still answers, after the watch fell silent:
+    # the answers were taken for a proof that the endpoint may be used.
+    driver = PolicyDriver(
+        settings(endpoints_are_polled=True, stale_endpoints_limit=3000.0, connect_timeout=50.0), endpoints=4
+    )
+    driver.update_endpoints([])
+    driver.handle(EndpointUpdate(UpdateKind.UNAVAILABLE, 0, [], driver.now - 1000.0, loss))
+    expires_at = driver.now - 1000.0 + 3000.0 - 50.0
+    while driver.now + 100.0 < expires_at:
+        driver.now += 100.0
+        driver.serve(driver.request())
+        # A failed call does not take back that the list expires.
+        driver.handle(EndpointUpdate(UpdateKind.UNAVAILABLE, 0, [], driver.now))
+    assert len(driver.attempts) > 15 and all(driver.attempts.values())
+    driver.policy.unserved_counts.clear()
+    for elapsed in (0.0, 1000.0, 60_000.0):
+        driver.now = expires_at + elapsed
+        assert not driver.attempts[driver.request()]
+    assert driver.policy.unserved_counts == {UnservedReason.EXPIRED_LIST: 3}
+    driver.update_endpoints([])
+    assert driver.attempts[driver.request()]
+
+
+def test_changed_address_after_an_outage_leaves_the_list_in_use_until_the_node_counts_as_notified() -> None:
+    driver = PolicyDriver(settings(endpoints_are_polled=True, stale_endpoints_limit=3000.0), endpoints=4)
+    driver.update_endpoints([])
+    outage_began_at = driver.now
+    driver.handle(EndpointUpdate(UpdateKind.UNAVAILABLE, 0, [], outage_began_at))
+    while driver.now < outage_began_at + 10_000.0:
+        driver.now += 100.0
+        driver.serve(driver.request())
+    changed_at = driver.now
+    driver.handle(
+        EndpointUpdate(UpdateKind.UNAVAILABLE, 0, [], changed_at - 1000.0, DiscoveryLoss.ADDRESS_CHANGED)
+    )
+    driver.now = changed_at + 1900.0
+    assert driver.attempts[driver.request()]
+    driver.now = changed_at + 2000.0
+    assert not driver.attempts[driver.request()]
--- a/tests/proxy/stubs.py
+++ b/tests/proxy/stubs.py
@@ -109,7 +109,8 @@
     """Discovery server: responds with a snapshot, or with a watch that sends the lines in ``watch_lines``.
 
     None in ``watch_lines`` closes the watch. ``targets`` gets the target of each request, ``disconnects`` an
-    item for each closed connection.
+    item for each closed connection. A watch begins with ``first_line``, by default a heartbeat. While
+    ``is_crowded`` is set, calls fail with status 503; an open watch stays open.
     """
 
     def __init__(self, instances: list[dict[str, Any]], generation: int = 1) -> None:
@@ -117,6 +118,8 @@
         self.watch_lines: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.targets: asyncio.Queue[str] = asyncio.Queue()
         self.disconnects: asyncio.Queue[int] = asyncio.Queue()
+        self.first_line = b"\n"
+        self.is_crowded = False
 
     async def start(self) -> DiscoveryStub:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -128,16 +131,25 @@
         line = {"generation": generation, "reset": reset, "instances": instances}
         self.watch_lines.put_nowait(json.dumps(line).encode() + b"\n")
 
+    def replace_list(self, generation: int, instances: list[dict[str, Any]]) -> None:
+        """Set the endpoint list that calls return and with which a watch begins from now on."""
+        self.snapshot = {"generation": generation, "reset": True, "instances": instances}
+        self.first_line = json.dumps(self.snapshot).encode() + b"\n"
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             head = await reader.readuntil(b"\r\n\r\n")
             target = head.split(b" ")[1].decode()
             self.targets.put_nowait(target)
+            if self.is_crowded:
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                return
             if "watch" not in target:
                 body = json.dumps(self.snapshot).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
                 return
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"%x\r\n%b\r\n" % (len(self.first_line), self.first_line))
             write_task = asyncio.ensure_future(self.write_lines(writer))
             await reader.read()  # returns when the node closes the connection
             write_task.cancel()
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -11,7 +11,7 @@
 import pytest
 
 from load_balancer.policy.endpoints import EndpointState
-from load_balancer.policy.events import EndpointUpdate, UpdateKind
+from load_balancer.policy.events import DiscoveryLoss, EndpointUpdate, UpdateKind
 from load_balancer.proxy import discovery_client as discovery
 from load_balancer.proxy.config import NOTIFIED_AFTER_S
 from load_balancer.proxy.discovery_client import MAX_STALE_SNAPSHOTS
@@ -168,6 +168,8 @@
         async with running_node(await UpstreamStub().start()) as harness:
             for _ in range(3):
                 assert "watch" in await asyncio.wait_for(harness.discovery.targets.get(), TIMEOUT_S)
+            # No watch was open, so none fell silent: discovery may be down.
+            assert harness.node.discovery.loss is DiscoveryLoss.UNREACHABLE
 
     run(test())
     # The log tells it from a watch that was open and fell silent.
@@ -178,13 +180,14 @@
     async def test() -> None:
         async with running_node(await UpstreamStub().start()) as harness:
             discovery = harness.node.discovery
-            while not discovery.is_failing:
+            while discovery.loss is None:
                 harness.discovery.watch_lines.put_nowait(None)
                 await asyncio.sleep(0)
             unavailable = await harness.next_event(EndpointUpdate)
-            assert (unavailable.kind, unavailable.endpoints) == (
+            assert (unavailable.kind, unavailable.endpoints, unavailable.loss) == (
                 UpdateKind.UNAVAILABLE,
                 [],
+                DiscoveryLoss.UNREACHABLE,
             ) and unavailable.last_contact_at == discovery.last_contact_at
             available = await harness.next_event(EndpointUpdate)
             assert (available.kind, available.version, available.endpoints) == (UpdateKind.DELTA, 1, [])
@@ -222,6 +225,7 @@
             os.write(writers[0].get_extra_info("socket").fileno(), delta_chunk(3, upstream.entry("s-4")))
             harness.node.discovery.change_address(("127.0.0.1", new_discovery.port))
             assert await asyncio.wait_for(new_discovery.targets.get(), TIMEOUT_S) == "/catalog/members"
+            assert (await harness.next_event(EndpointUpdate)).loss is DiscoveryLoss.ADDRESS_CHANGED
             assert (await harness.next_event(EndpointUpdate)).version == 9
             assert harness.endpoint_ids() == {stable_id(b"s-2")}
 
