--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -8,33 +8,23 @@
 
 import asyncio
 import logging
-import math
 import random
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from load_balancer.policy import Policy
-from load_balancer.policy.commands import (
-    CancelAttempt,
-    FailRequest,
-    RejectRequest,
-    SendAttempt,
-    SetTimer,
-    WatchEndpoints,
-    WriteLog,
-)
 from load_balancer.policy.events import (
     AttemptEnded,
     AttemptResult,
     DiscoveryLoss,
     EndpointUpdate,
     RequestCancelled,
-    TimerFired,
     UpdateKind,
 )
 from load_balancer.proxy.client_connection import ClientConnection
 from load_balancer.proxy.client_request import ClientRequest
 from load_balancer.proxy.clock import now_ms
+from load_balancer.proxy.command_executor import CommandExecutor
 from load_balancer.proxy.config import Config
 from load_balancer.proxy.configuration_reload import reload_configuration
 from load_balancer.proxy.discovery_client import DiscoveryClient, max_backoff
@@ -45,7 +35,7 @@
 from load_balancer.proxy.listener import Listener
 from load_balancer.proxy.messages import UpstreamResponse
 from load_balancer.proxy.metrics import MetricsReporter
-from load_balancer.proxy.policy_runner import CommandHandlers, PolicyRunner
+from load_balancer.proxy.policy_runner import PolicyRunner
 from load_balancer.proxy.request_tracker import RequestTracker, TrackedRequest
 from load_balancer.proxy.upstream import UpstreamTarget
 from load_balancer.proxy.upstream_attempt import UpstreamAttempt
@@ -92,13 +82,17 @@
         self.shutting_down = False
         """Whether the graceful shutdown has begun."""
         self.policy = Policy(config.settings, config.seed)
-        self.policy_runner = PolicyRunner(self.policy, self._command_handlers(), self._abort_request)
+        self.policy_runner = PolicyRunner(self.policy, self._abort_request)
         self.requests = RequestTracker()
         self.endpoints = EndpointDirectory(config)
         limits = _connection_limits(config.max_descriptors)
         self.pool = UpstreamPool(
             loop, PoolLimits(config.connect_timeout, config.idle_timeout, limits.upstreams), handler=self
         )
+        executor = CommandExecutor(
+            loop, self.requests, self.pool, self.policy_runner.submit, self._drop_client
+        )
+        self.policy_runner.handlers.update(executor.handlers())
         self.listener = Listener(loop, config, self, limits.clients)
         self.endpoint_updater = EndpointUpdater(self.endpoints, self.pool, self.policy_runner.submit)
         self.discovery = self._new_discovery_client()
@@ -158,62 +152,7 @@
             self.requests.counters["clients disconnected"] += 1
             self._cancel_request(request_id, pending)
 
-    # Execution of the policy's commands.
-
-    def _command_handlers(self) -> CommandHandlers:
-        return {
-            SendAttempt: self._send_attempt,
-            RejectRequest: self._reject_request,
-            FailRequest: self._fail_request,
-            CancelAttempt: self._cancel_attempt,
-            SetTimer: self._set_timer,
-            WriteLog: self._write_log,
-            WatchEndpoints: self._watch_endpoints,
-        }
-
-    def _send_attempt(self, command: SendAttempt) -> None:
-        request_id = command.request_id
-        pending = self.requests.pending[request_id]
-        number = pending.attempts
-        pending.attempts += 1
-        if pending.client.is_disconnected():
-            not_sent = AttemptEnded(
-                request_id,
-                command.endpoint_id,
-                request_ended=True,
-                result=AttemptResult.NOT_SENT,
-                attempt=number,
-                elapsed=0.0,
-            )
-            self.policy_runner.submit(not_sent)
-            self._drop_client(request_id, pending.client)
-            return
-        timeout = pending.deadline - now_ms()
-        if command.timeout:
-            timeout = min(timeout, command.timeout)
-        self.pool.send(request_id, number, command.endpoint_id, timeout, pending.message)
-
-    def _reject_request(self, command: RejectRequest) -> None:
-        retry_after = command.retry_after / 1000
-        headers = b"Retry-After: %.3f\r\n" % retry_after if retry_after else b""
-        self.requests.respond(command.request_id, 503, headers)
-
-    def _fail_request(self, command: FailRequest) -> None:
-        self.requests.respond(command.request_id, 502)
-
-    def _cancel_attempt(self, command: CancelAttempt) -> None:
-        self.pool.cancel(command.request_id, command.attempt)
-
-    def _set_timer(self, command: SetTimer) -> None:
-        # The delay is rounded up: a timer that fires early would find nothing due and be set again at once.
-        delay = math.ceil(command.delay) / 1000
-        self.loop.call_later(delay, self.policy_runner.submit, TimerFired(command.token))
-
-    def _write_log(self, command: WriteLog) -> None:
-        logger.info("%s", command.message)
-
-    def _watch_endpoints(self, command: WatchEndpoints) -> None:
-        """Do nothing, since the node watches the endpoint list from its start."""
+    # Requests that end early.
 
     def _abort_request(self, request_id: int) -> None:
         """Respond to a request with 500 after an exception in the policy or in a command, and cancel it."""
--- a/load_balancer/proxy/policy_runner.py
+++ b/load_balancer/proxy/policy_runner.py
@@ -26,12 +26,12 @@
 
     Args:
         policy: The policy, which is not reentrant.
-        handlers: Functions that execute the commands, by type of command.
         on_failure: Called with the id of the request whose event or command raised an exception.
     """
 
-    def __init__(self, policy: Policy, handlers: CommandHandlers, on_failure: Callable[[int], None]) -> None:
-        self.handlers = dict(handlers)
+    def __init__(self, policy: Policy, on_failure: Callable[[int], None]) -> None:
+        self.handlers: dict[type[Command], Callable[[Any], None]] = {}
+        """Functions that execute the commands, by type of command; to be set before the first event."""
         self._policy = policy
         self._on_failure = on_failure
         self._events: deque[Event] = deque()
