Keep an expired list out of use until the whole update is applied

Cause: each slice was a DELTA like any other, and StalenessGuard.update takes a DELTA for a list that is up to date.

Change: all slices but the last are marked is_partial, and do not end the expiry. Losses that don't expire the list are as before, since the node counts as notified when the update is written.

--- a/load_balancer/policy/events.py
+++ b/load_balancer/policy/events.py
@@ -73,6 +73,8 @@
     """
     loss: DiscoveryLoss = DiscoveryLoss.UNREACHABLE
     """For UNAVAILABLE: how contact with discovery was lost."""
+    is_partial: bool = False
+    """For DELTA: whether more parts of the same update follow, so that the list is not up to date yet."""
 
 
 @dataclass(slots=True)
--- a/load_balancer/policy/staleness.py
+++ b/load_balancer/policy/staleness.py
@@ -5,8 +5,9 @@
 
 - UNREACHABLE: only endpoints that served an attempt of this node within that time are used, and after
   USE_ALL_AFTER ms all endpoints again.
-- WATCH_SILENT and ADDRESS_CHANGED: the list has expired, and no endpoint is used until the next contact. The
-  node counts as notified of all changes, and an endpoint that was removed may still serve requests.
+- WATCH_SILENT and ADDRESS_CHANGED: the list has expired, and no endpoint is used until the next update has
+  been applied as a whole. The node counts as notified of all changes, and an endpoint that was removed may
+  still serve requests.
 """
 
 from __future__ import annotations
@@ -66,7 +67,7 @@
             self._stale_since = min(self._stale_since, last_contact_at)
             if event.loss is not DiscoveryLoss.UNREACHABLE:
                 self._expires_at = min(self._expires_at, last_contact_at + self._stale_limit)
-        else:
+        elif not event.is_partial or self._expires_at == math.inf:
             self._stale_since = self._expires_at = math.inf
             self._backoff = self._poll_interval_limit / RESET_BACKOFF_DIVISOR
         return retry_in
--- a/load_balancer/proxy/endpoint_updater.py
+++ b/load_balancer/proxy/endpoint_updater.py
@@ -84,7 +84,7 @@
             if endpoint is not None:
                 changed.append(endpoint)
             if endpoint is None or len(changed) >= CHANGES_PER_SLICE:
-                self._submit(EndpointUpdate(UpdateKind.DELTA, update.version, changed))
+                self._submit(EndpointUpdate(UpdateKind.DELTA, update.version, changed, is_partial=True))
                 changed = []
                 yield
         self._submit(EndpointUpdate(UpdateKind.DELTA, update.version, changed))
--- a/tests/proxy/harness.py
+++ b/tests/proxy/harness.py
@@ -103,11 +103,18 @@
 
     def apply_delta(self, generation: int, instances: list[dict[str, Any]]) -> None:
         """Apply a delta of the endpoint list; all of its slices are applied when the call returns."""
-        decoder = self.node.endpoints.new_decoder()
-        decoder.feed(json.dumps({"generation": generation, "reset": False, "instances": instances}).encode())
-        for _ in self.node.endpoint_updater.apply_slices(decoder.finish()):
+        for _ in self.node.endpoint_updater.apply_slices(self._decode(generation, False, instances)):
             pass
 
+    def decode_snapshot(self, generation: int, instances: list[dict[str, Any]]) -> DiscoveryUpdate:
+        """Return a snapshot of the endpoint list, to be applied to the node."""
+        return self._decode(generation, True, instances)
+
+    def _decode(self, generation: int, reset: bool, instances: list[dict[str, Any]]) -> DiscoveryUpdate:
+        decoder = self.node.endpoints.new_decoder()
+        decoder.feed(json.dumps({"generation": generation, "reset": reset, "instances": instances}).encode())
+        return decoder.finish()
+
     def endpoint_ids(self) -> set[int]:
         """Return the ids of the endpoints in the current list."""
         return set(self.node.endpoints.ids())
--- a/tests/proxy/test_stale_endpoints.py
+++ b/tests/proxy/test_stale_endpoints.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from load_balancer.policy.events import DiscoveryLoss, EndpointUpdate
-from load_balancer.proxy import discovery_client
+from load_balancer.policy.events import DiscoveryLoss, EndpointUpdate, UpdateKind
+from load_balancer.proxy import discovery_client, endpoint_updater
 from load_balancer.proxy.clock import now_ms
 from load_balancer.proxy.config import NOTIFIED_AFTER_S
 from tests.proxy.harness import NodeHarness, make_config, run, running_node
@@ -71,3 +71,31 @@
             assert removed.requests.qsize() == received
 
     run(test())
+
+
+def test_expired_list_is_not_used_before_the_whole_snapshot_is_applied(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against attempts at an endpoint that a snapshot after the expiry does not list, while the rest of
+    # the snapshot is still being applied.
+    async def test() -> None:
+        upstreams = [await UpstreamStub().start() for _ in range(4)]
+        settings = replace(
+            make_config(1).settings, endpoints_are_polled=True, stale_endpoints_limit=STALE_LIMIT_MS
+        )
+        async with running_node(*upstreams, settings=settings) as harness:
+            client, node = await harness.connect(), harness.node
+            await apply_version(harness, 2, upstreams[1])
+            monkeypatch.setattr(endpoint_updater, "ROWS_PER_SLICE", 1)
+            silent_since = now_ms() - 2 * STALE_LIMIT_MS
+            expired = EndpointUpdate(UpdateKind.UNAVAILABLE, 2, [], silent_since, DiscoveryLoss.WATCH_SILENT)
+            node.policy_runner.submit(expired)
+            slices = node.endpoint_updater.apply_slices(
+                harness.decode_snapshot(3, [upstreams[0].entry("s-1")])
+            )
+            statuses = [(await client.exchange(make_request()))[0] for _ in slices]
+            assert len(statuses) >= 4 and set(statuses) == {503}
+            assert (await client.exchange(make_request()))[0] == 200
+            assert [upstream.requests.qsize() for upstream in upstreams] == [1, 0, 0, 0]
+
+    run(test())
