--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import sys
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import asdict
+from pathlib import Path
 from typing import Any
 
 import click
@@ -17,10 +18,19 @@
 from rich.console import Console
 from rich.progress import track
 
-from benchmarks import hollow_nodes, node_process, policy_cost, slow_start, slow_start_chance, subsetting
+from benchmarks import (
+    client_pressure,
+    hollow_nodes,
+    node_process,
+    policy_cost,
+    slow_start,
+    slow_start_chance,
+    subsetting,
+)
 from benchmarks.child_process import NodeCommand
 from benchmarks.discovery_stub import DiscoveryPlan
 from benchmarks.fleet import FLEET_NODES
+from benchmarks.hostile_clients import Behaviour
 from benchmarks.policy_cost import Cost
 from benchmarks.report import REPOSITORY_ROOT, Row, growth_rows, show_table, write_json
 from benchmarks.slow_start import Scenario
@@ -61,6 +71,7 @@
 python -m benchmarks subsetting  # how evenly the subsets cover 95,000 endpoints
 python -m benchmarks slow-start --nodes 5,30,200  # attempts of all nodes at a new endpoint
 python -m benchmarks slow-start-chance  # probability that the nodes together overload it
+python -m benchmarks client-pressure --clients 600  # a node with clients that misuse it
 """
 
 
@@ -216,5 +227,40 @@
     show_table(f"subsets for {nodes} nodes, of {endpoints} endpoints", rows, file)
 
 
+@main.command("client-pressure")
+@click.option(
+    "--behaviour",
+    "behaviours",
+    type=click.Choice([behaviour.value for behaviour in Behaviour]),
+    multiple=True,
+    default=[behaviour.value for behaviour in Behaviour],
+    help="What the clients do; may be repeated.",
+)
+@click.option("--clients", default=600, help="Clients that misuse the node; floods have one client.")
+@click.option("--seconds", default=8.0)
+@click.option("--memory-mb", default=client_pressure.LEAST_MEMORY_MB, help="The node's memory limit.")
+@click.option("--descriptors", default=client_pressure.DESCRIPTORS, help="The node's descriptor limit.")
+@click.option("--root", default=str(REPOSITORY_ROOT), help="Checkout from which the node is run.")
+@json_option
+def client_pressure_command(
+    behaviours: Sequence[str],
+    clients: int,
+    seconds: float,
+    memory_mb: int,
+    descriptors: int,
+    root: str,
+    file: str | None,
+) -> None:
+    """Measure a node and what its good clients get while other clients misuse it."""
+    rows = []
+    for behaviour in track(behaviours, "behaviours", console=_progress_console, transient=True):
+        count = 1 if behaviour.endswith("flood") else clients
+        measurement = client_pressure.measure_pressure(
+            behaviour, count, seconds, memory_mb, descriptors, Path(root)
+        )
+        rows.append(asdict(uvloop.run(measurement)))
+    show_table(f"a node of {memory_mb} MB and {descriptors} descriptors for {seconds:g} s", rows, file)
+
+
 if __name__ == "__main__":
     main()
