Count exceptions in the node's log under misuse, and shorten the measurement

Change: the result has the number of tracebacks, which the tests expect to be 0. App servers of the benchmark don't write on lost connections.

--- a/benchmarks/client_pressure.py
+++ b/benchmarks/client_pressure.py
@@ -17,7 +17,7 @@
 import psutil
 
 from benchmarks.child_process import ChildProcess, find_free_port
-from benchmarks.good_clients import GoodClients, read_response
+from benchmarks.good_clients import GoodClientResults, GoodClients, read_response
 from benchmarks.hostile_clients import HostilePlan
 from benchmarks.live_fleet import AppServer, LiveDiscovery
 from benchmarks.process_usage import peak_memory
@@ -49,6 +49,8 @@
     p50_ms: float
     p99_ms: float
     alive: bool
+    tracebacks: int
+    """Exceptions in the node's log."""
 
 
 def pressure_settings() -> dict[str, Any]:
@@ -207,23 +209,37 @@
         good.start(GOOD_CLIENTS)
         await asyncio.sleep(LEAD_S)
         before = sum(process.cpu_times()[:2])
-        if clients:
-            hostile = await start_hostile_clients(HostilePlan(node.port, behaviour, clients, seconds))
-            await hostile.wait()
-        else:
-            await asyncio.sleep(seconds)
+        plan = HostilePlan(node.port, behaviour, clients, seconds)
+        hostile = await start_hostile_clients(plan)
+        await hostile.wait()
+        results = await good.stop()
         alive = node.is_alive()
         processor_s = sum(process.cpu_times()[:2]) - before if alive else 0.0
         peak = peak_memory(node.pid) if alive else 0.0
-        results = await good.stop()
-        peak = max(peak, peak_memory(node.pid) if node.is_alive() else 0.0)
+    tracebacks = sum(line.text.startswith("Traceback") for line in node.output_lines)
+    return _result(plan, memory_mb, results, NodeUsage(alive, peak, processor_s, tracebacks))
+
+
+@dataclass(frozen=True, slots=True)
+class NodeUsage:
+    """Whether the node survived, its peak memory in MB, its processor time in s, exceptions in its log."""
+
+    alive: bool
+    peak_memory: float
+    processor_s: float
+    tracebacks: int
+
+
+def _result(
+    plan: HostilePlan, memory_mb: int, results: GoodClientResults, usage: NodeUsage
+) -> PressureResult:
     rejected = results.statuses[503] + results.statuses[429]
     return PressureResult(
-        behaviour=behaviour,
-        clients=clients,
+        behaviour=plan.behaviour,
+        clients=plan.clients,
         memory_limit=memory_mb,
-        peak_memory=peak,
-        processor_s=processor_s,
+        peak_memory=usage.peak_memory,
+        processor_s=usage.processor_s,
         served=results.statuses[200],
         rejected=rejected,
         failed=sum(results.statuses.values()) - rejected - results.statuses[200],
@@ -231,5 +247,6 @@
         not_connected=results.not_connected,
         p50_ms=results.percentile_ms(0.5),
         p99_ms=results.percentile_ms(0.99),
-        alive=alive,
+        alive=usage.alive,
+        tracebacks=usage.tracebacks,
     )
--- a/benchmarks/live_fleet.py
+++ b/benchmarks/live_fleet.py
@@ -81,7 +81,11 @@
             Arrival(time.monotonic(), request_id[1] if request_id else b"", method)
         )
         response = APP_SERVER_RESPONSES.get(path.rpartition(b"/")[2], _SHORT_RESPONSE)
-        asyncio.get_running_loop().call_later(self._app_server.work, self._transport.write, response)
+        asyncio.get_running_loop().call_later(self._app_server.work, self._respond, response)
+
+    def _respond(self, response: bytes) -> None:
+        if not self._transport.is_closing():
+            self._transport.write(response)
 
 
 class AppServer:
--- a/tests/proxy/test_client_pressure.py
+++ b/tests/proxy/test_client_pressure.py
@@ -20,7 +20,7 @@
 ) -> PressureResult:
     """Run the clients beside good ones; the node must survive and answer every good request in time."""
     result = uvloop.run(measure_pressure(behaviour, clients, SECONDS, memory_mb, descriptors))
-    assert result.alive
+    assert result.alive and result.tracebacks == 0
     assert result.served > 0 and result.unanswered == 0 and result.not_connected == 0
     return result
 
