Reject an id that comes again after its client left while it may run

Cause: ids were known only while their request was open. A client that leaves ends its request at once, but the attempt, which may run on whatever is cancelled, was forgotten with it.

An id that was never written may come again.

--- a/load_balancer/proxy/client_connection.py
+++ b/load_balancer/proxy/client_connection.py
@@ -105,10 +105,10 @@
         self._table.set_state(self, ConnectionState.DISCONNECTED)
         self._on_lost(self)
         self._drop_queue()
-        self._release_request_id(self._request_in_flight)
         if self.request_id:
             request_id, self.request_id = self.request_id, 0
             self._handler.on_client_disconnected(request_id)
+        self._release_request_id(self._request_in_flight)
 
     def pause_writing(self) -> None:
         """Stop serving requests: the write buffer is full because the client does not read its responses."""
@@ -173,14 +173,11 @@
         """Queue a request.
 
         Raises:
-            InvalidRequestError: A request with the same Request-Id is open, on any connection; endpoints
-                could not tell the two apart.
+            InvalidRequestError: A request with the same Request-Id is open, on any connection, or may run
+                although its client has left; endpoints could not tell the two apart.
         """
-        if isinstance(request, ClientRequest):
-            open_request_ids = self._table.open_request_ids
-            if request.client_request_id in open_request_ids:
-                raise InvalidRequestError(HTTPStatus.CONFLICT)
-            open_request_ids.add(request.client_request_id)
+        if isinstance(request, ClientRequest) and not self._table.request_ids.open(request.client_request_id):
+            raise InvalidRequestError(HTTPStatus.CONFLICT)
         self.queue.append(request)
         self._has_received_request = True
         self._request_incomplete = False
@@ -256,7 +253,12 @@
 
     def _release_request_id(self, request: QueuedItem | None) -> None:
         if isinstance(request, ClientRequest):
-            self._table.open_request_ids.discard(request.client_request_id)
+            self._table.request_ids.release(request.client_request_id)
+
+    def retire_request_id(self) -> None:
+        """Reject further requests with the id of the request in flight, which may run without its client."""
+        if self._request_in_flight is not None:
+            self._table.request_ids.retire(self._request_in_flight.client_request_id)
 
     def _drop_queue(self) -> None:
         for request in self.queue:
--- a/load_balancer/proxy/connection_table.py
+++ b/load_balancer/proxy/connection_table.py
@@ -6,6 +6,8 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
+from load_balancer.proxy.request_ids import RequestIds
+
 if TYPE_CHECKING:
     from load_balancer.proxy.client_connection import ClientConnection
 
@@ -48,8 +50,8 @@
 
     def __init__(self, limit: int, time: Callable[[], float]) -> None:
         self.limit = limit
-        self.open_request_ids: set[bytes] = set()
-        """Request-Id values of the requests that were received and have no response yet."""
+        self.request_ids = RequestIds(time)
+        """Request-Id values that are in use."""
         self.time = time
         self._connections: set[ClientConnection] = set()  # including closing connections
         self._start_times: dict[ConnectionState, dict[ClientConnection, float]] = {
--- a/load_balancer/proxy/messages.py
+++ b/load_balancer/proxy/messages.py
@@ -15,6 +15,8 @@
     head: bytes
     """Request line and header lines, without the blank line that ends them."""
     body: bytes
+    was_sent: bool = False
+    """Whether an attempt has been written to an upstream, so that the request may run."""
 
 
 @dataclass(slots=True)
--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -103,6 +103,7 @@
                 self.pool.counts,
                 self.policy.unserved_counts,
                 self.discovery.failure_counts,
+                self.listener.connections.request_ids.counts,
             ),
         )
         if config.load_cached_endpoints is not None:
@@ -150,6 +151,8 @@
         pending = self.requests.remove(request_id)
         if pending is not None:
             self.requests.counters["clients disconnected"] += 1
+            if pending.message.was_sent:
+                pending.client.retire_request_id()
             self._cancel_request(request_id, pending)
 
     # Requests that end early.
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -145,6 +145,7 @@
         self._parser.start_response()
         remaining_ms = max(1, int(attempt.deadline - now_ms()))
         request = attempt.request
+        request.was_sent = True
         self.transport.write(b"%bRequest-Timeout: %dm\r\n\r\n%b" % (request.head, remaining_ms, request.body))
 
     def data_received(self, data: bytes) -> None:
--- a/tests/proxy/test_client_connection.py
+++ b/tests/proxy/test_client_connection.py
@@ -126,7 +126,7 @@
             release.set()
             assert (await first.receive())[0] == 200
             assert (await third.exchange(data))[0] == 200
-            assert not harness.node.listener.connections.open_request_ids
+            assert not harness.node.listener.connections.request_ids.open_ids
 
     run(test())
 
@@ -139,10 +139,10 @@
             client = await harness.connect()
             client.writer.write(make_request() + make_request() + make_request())
             await asyncio.wait_for(upstream.requests.get(), TIMEOUT_S)
-            assert len(harness.node.listener.connections.open_request_ids) == 3
+            assert len(harness.node.listener.connections.request_ids.open_ids) == 3
             client.writer.close()
             await harness.next_event(RequestCancelled)
-            assert not harness.node.listener.connections.open_request_ids
+            assert not harness.node.listener.connections.request_ids.open_ids
 
     run(test())
 
@@ -161,7 +161,7 @@
             table = harness.node.listener.connections
             (connection,) = table
             # The chunk that fills the queue may hold further requests, each longer than 100 bytes.
-            assert len(table.open_request_ids) <= MAX_QUEUED_REQUESTS + PARSE_CHUNK_SIZE // 100
+            assert len(table.request_ids.open_ids) <= MAX_QUEUED_REQUESTS + PARSE_CHUNK_SIZE // 100
             release.set()
             for _ in range(400):
                 assert (await client.receive())[0] == 200
--- a/tests/proxy/test_client_disconnect_races.py
+++ b/tests/proxy/test_client_disconnect_races.py
@@ -42,6 +42,25 @@
     run(test())
 
 
+def test_id_of_a_request_that_was_never_sent_may_come_again() -> None:
+    async def test() -> None:
+        upstream = await UpstreamStub().start()
+        async with running_node(upstream) as harness:
+            loop = harness.node.pool.loop
+            held_loop = hold_connections(harness)
+            request = make_request("pay")
+            client = await harness.connect()
+            client.writer.write(request)
+            await asyncio.wait_for(held_loop.completed.wait(), TIMEOUT_S)
+            client.writer.close()
+            await harness.next_event(RequestCancelled)
+            harness.node.pool.loop = loop
+            assert (await (await harness.connect()).exchange(request))[0] == 200
+            assert upstream.requests.qsize() == 1
+
+    run(test())
+
+
 def test_request_is_not_sent_if_the_disconnect_is_undetected_once_the_upstream_is_connected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -106,7 +125,7 @@
             assert (
                 upstream.requests.empty()
                 and not harness.node.requests.pending
-                and not harness.node.listener.connections.open_request_ids
+                and not harness.node.listener.connections.request_ids.open_ids
             )
 
     run(test())
--- a/tests/proxy/test_request_parser.py
+++ b/tests/proxy/test_request_parser.py
@@ -111,7 +111,9 @@
             assert (received_status, header(head, b"Connection")) == (status, b"close")
             assert await client.read_to_end() == b""
             assert (await (await harness.connect()).exchange(make_request()))[0] == 200
-            assert upstream.requests.qsize() == 1 and not harness.node.listener.connections.open_request_ids
+            assert (
+                upstream.requests.qsize() == 1 and not harness.node.listener.connections.request_ids.open_ids
+            )
 
     run(test())
 
