Reject a discovery text that goes on without a complete entry

Seen by callers: nothing yet; found on the way through what a connection may hold (lines of discovery).

Cause: entries are packed as they come, but the JSON parser holds a token until it ends, so one string without an end grew until the message's time limit, some 4 MB.

Evidence: by reading; the new case ended with a lexical error after all 80,000 bytes before, which the parser had held.

Change: 64 KB without a complete entry reject the update, as any other fault in it does.

Measured: the new case passes, and fails without the check.

--- a/load_balancer/proxy/discovery_response.py
+++ b/load_balancer/proxy/discovery_response.py
@@ -107,7 +107,7 @@
     """
     host, port = address
     async with asyncio.timeout(timeouts.connect):
-        reader, writer = await asyncio.open_connection(host, port)
+        reader, writer = await asyncio.open_connection(host, port, limit=READ_SIZE)
     try:
         writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
         yield DiscoveryResponse(reader, timeouts)
--- a/load_balancer/proxy/endpoint_decoder.py
+++ b/load_balancer/proxy/endpoint_decoder.py
@@ -30,6 +30,7 @@
     TooManyEndpointsError,
 )
 
+MAX_ENTRY_SIZE = 65_536  # bytes of text without a complete entry; entries have some 200
 MAX_NESTING = 16  # levels of objects and arrays in the value of an ignored field
 LOGGED_ENTRIES = 4  # entries of an update that are named in the log
 UNKNOWN_MACHINE_TYPE = -1
@@ -227,6 +228,7 @@
     def __init__(self, builder: UpdateBuilder) -> None:
         self._builder = builder
         self._parser: Any = None
+        self._bytes_since_entry = 0  # bytes of the text since the last complete entry
 
     @property
     def has_started(self) -> bool:
@@ -247,10 +249,18 @@
             event_receiver = self._builder.event_receiver()
             next(event_receiver)
             self._parser = ijson.basic_parse_coro(event_receiver, use_float=True)
+        position = self._builder.position
         try:
             self._parser.send(data)
         except (ijson.JSONError, ValueError, StopIteration, RecursionError) as error:
             raise EndpointListSyntaxError(str(error), self._builder.position) from None
+        self._check_entry_size(len(data), is_entry_complete=self._builder.position != position)
+
+    def _check_entry_size(self, size: int, is_entry_complete: bool) -> None:
+        """Reject a text that goes on without a complete entry: the JSON parser may hold all of it."""
+        self._bytes_since_entry = 0 if is_entry_complete else self._bytes_since_entry + size
+        if self._bytes_since_entry > MAX_ENTRY_SIZE:
+            raise EndpointListSyntaxError("an entry is too large", self._builder.position)
 
     def finish(self) -> DiscoveryUpdate:
         """Return the update; all of its JSON text must have been fed.
--- a/tests/proxy/test_endpoint_decoder.py
+++ b/tests/proxy/test_endpoint_decoder.py
@@ -66,6 +66,11 @@
             "entry 1, s-00000000: weight has the invalid value -1.0",
         ),
         (SNAPSHOT.replace(b"},{", b"}]{", 1), EndpointListSyntaxError, "after 1 entries: parse error"),
+        (
+            SNAPSHOT.replace(b'"zone":"z4"', b'"zone":"' + b"z" * 80_000, 1),
+            EndpointListSyntaxError,
+            "after 4 entries: an entry is too large",
+        ),
         (
             b'{"reset":true,"instances":[' + b"[" * 40,
             EndpointListSyntaxError,
@@ -99,7 +104,7 @@
         (SNAPSHOT.replace(b"10.0.0.1:9000", b"10.0.0.1\\u0000:9000", 1), EndpointEntryError, "entry 2, s-"),
         (b" ", EndpointListSyntaxError, "the JSON is empty"),
     ],
-    ids=range(15),
+    ids=range(16),
 )
 def test_invalid_list_raises_an_error_with_reason_and_position(
     text: bytes, error: type[EndpointListError], message: str
