Begin no attempt while unread input may hide that the client has left

Cause: the end of a connection comes behind the data that the client has sent. While reading was paused by a full queue 4 MB could lie before it, in the buffers of both sides; the check before each attempt polls the socket, which can't see it (shown by the states in /proc/net/tcp: the client in FIN-WAIT-1 with 4 MB unsent). A response reveals it, as the client's kernel resets the connection; a retry, a request that waited, and a response that is not sent yet don't.

The presence of a client is CONNECTED, DISCONNECTED or UNKNOWN, after 50 ms of unread input, and while requests are shed until the client has paused for 50 ms. No attempt begins for UNKNOWN, first or further, on a new connection or an idle one: the request gets 503, or 502 if it may have run. A request whose turn comes is served after what is unread has been read. Counted as "requests ended behind unread input".

--- a/load_balancer/proxy/client_connection.py
+++ b/load_balancer/proxy/client_connection.py
@@ -14,11 +14,10 @@
 from load_balancer.proxy.connection_table import ConnectionState
 from load_balancer.proxy.memory_budget import MemoryAccount, nothing_to_release
 from load_balancer.proxy.read_scheduler import ReadUsage
-from load_balancer.proxy.socket_reader import SocketReader
+from load_balancer.proxy.socket_reader import MAX_HIDDEN_CLOSE_S, ClientPresence, SocketReader
 
 # Size of the write buffer from which on the client has to read before further requests are served.
 WRITE_BUFFER_LIMIT = 16384
-SHED_PAUSE_S = 0.05  # pause of a client whose requests were shed, after which its requests are kept again
 SHED_RESPONSES_PER_WRITE = 64
 CONNECTION_BYTES = 2600  # memory of the objects of a connection with an incomplete request
 SHORT_INPUT_BYTES = 2048  # input that is kept even if it does not fit the memory budget
@@ -69,11 +68,11 @@
         """Whether the write buffer is full because the client does not read its responses."""
         self._context = context
         self._account = MemoryAccount(context.budget, self._release_memory)
+        self._usage = ReadUsage()
         self._request_in_flight: ClientRequest | None = None
         self._response_pending = False  # whether a request (valid or not) or health check awaits a response
         self._keep_alive = True  # whether the client wants the connection kept open after the response
         self._in_serve_loop = False
-        self._usage = ReadUsage()
         self._has_turn_coming = False  # whether the scheduler will call take_turn
         self._request_started_at = 0.0  # s on the loop's clock; for the first request, time of connection
         self._shed_at = 0.0  # time in s at which input was last received while requests are shed
@@ -86,7 +85,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT)
         self._account.resize(CONNECTION_BYTES)
-        self.reader = SocketReader(self.transport)
+        self.reader = SocketReader(self.transport, self._context.table.time)
         self._request_started_at = self._context.table.time()
         self._context.table.set_state(self, ConnectionState.CONNECTED, self._request_started_at)
 
@@ -121,6 +120,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received data and serve the requests that are complete."""
         context = self._context
+        self.reader.record_read(has_filled_buffer=nbytes == len(context.read_buffer))
         self._end_shedding_after_pause()
         started_at = time.monotonic()
         self.input.receive(context.read_buffer[:nbytes])
@@ -155,6 +155,14 @@
             self.reader.pause()
             self._context.scheduler.add(self)
 
+    def presence(self) -> ClientPresence:
+        """Return whether the client still waits for the response to the request in flight."""
+        presence = self.reader.presence()
+        if presence is ClientPresence.CONNECTED and self.input.is_shedding:
+            has_paused = self._context.table.time() > self._shed_at + MAX_HIDDEN_CLOSE_S
+            return ClientPresence.CONNECTED if has_paused else ClientPresence.UNKNOWN
+        return presence
+
     # InputObserver: called by the input.
 
     def on_request_started(self) -> None:
@@ -205,7 +213,7 @@
         if not self.input.is_shedding:
             return
         now = self._context.table.time()
-        if now > self._shed_at + SHED_PAUSE_S and not self.input.unparsed:
+        if now > self._shed_at + MAX_HIDDEN_CLOSE_S and not self.input.unparsed:
             self.input.stop_shedding()
         self._shed_at = now
 
@@ -226,7 +234,8 @@
         has_parsed = False
         while not self._response_pending and not self.write_paused:
             if self.input.queue:
-                self._serve_next()
+                if not self._serve_next():
+                    break
             elif self.input.can_parse and not has_parsed:
                 has_parsed = True
                 self.input.parse_more()
@@ -238,12 +247,19 @@
         self._update_state()
         self.update_memory()
 
-    def _serve_next(self) -> None:
+    def _serve_next(self) -> bool:
+        """Serve the first item of the queue; return False if input has to be read first."""
         item = self.input.queue[0]
         if isinstance(item, ShedRequests):
             self._respond_to_shed(item)
-        else:
-            self._serve(self.input.take())
+            return True
+        if isinstance(item, ClientRequest) and self.reader.has_to_read():
+            # The input may end with the close of the connection, after which no attempt may begin.
+            if not self._has_turn_coming:
+                self.reader.resume()
+            return False
+        self._serve(self.input.take())
+        return True
 
     def _serve(self, request: QueuedItem) -> None:
         self._keep_alive = request.keep_alive
--- a/load_balancer/proxy/command_executor.py
+++ b/load_balancer/proxy/command_executor.py
@@ -22,6 +22,7 @@
 from load_balancer.proxy.clock import now_ms
 from load_balancer.proxy.policy_runner import CommandHandlers
 from load_balancer.proxy.request_tracker import RequestTracker
+from load_balancer.proxy.socket_reader import ClientPresence
 from load_balancer.proxy.upstream_pool import UpstreamPool
 
 logger = logging.getLogger(__name__)
@@ -35,7 +36,7 @@
         requests: Requests in flight.
         pool: Sends and cancels attempts.
         submit: Passes an event to the policy.
-        drop_client: Ends a request whose client has disconnected, given its id and the connection.
+        end_without_client: Ends a request whose client does not wait for the response or may not do so.
     """
 
     def __init__(
@@ -44,13 +45,13 @@
         requests: RequestTracker,
         pool: UpstreamPool,
         submit: Callable[[Event], None],
-        drop_client: Callable[[int, ClientConnection], None],
+        end_without_client: Callable[[int, ClientConnection, ClientPresence], None],
     ) -> None:
         self._loop = loop
         self._requests = requests
         self._pool = pool
         self._submit = submit
-        self._drop_client = drop_client
+        self._end_without_client = end_without_client
 
     def handlers(self) -> CommandHandlers:
         """Return the function that executes each type of command."""
@@ -69,7 +70,8 @@
         pending = self._requests.pending[request_id]
         number = pending.attempts
         pending.attempts += 1
-        if pending.client.reader.is_disconnected():
+        presence = pending.client.presence()
+        if presence is not ClientPresence.CONNECTED:
             not_sent = AttemptEnded(
                 request_id,
                 command.endpoint_id,
@@ -79,7 +81,7 @@
                 elapsed=0.0,
             )
             self._submit(not_sent)
-            self._drop_client(request_id, pending.client)
+            self._end_without_client(request_id, pending.client, presence)
             return
         timeout = pending.deadline - now_ms()
         if command.timeout:
--- a/load_balancer/proxy/node.py
+++ b/load_balancer/proxy/node.py
@@ -11,6 +11,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
+from http import HTTPStatus
 
 from load_balancer.policy import Policy
 from load_balancer.policy.events import (
@@ -45,6 +46,7 @@
 from load_balancer.proxy.policy_runner import PolicyRunner
 from load_balancer.proxy.read_scheduler import ReadScheduler
 from load_balancer.proxy.request_tracker import RequestTracker, TrackedRequest
+from load_balancer.proxy.socket_reader import ClientPresence
 from load_balancer.proxy.upstream import UpstreamTarget
 from load_balancer.proxy.upstream_attempt import UpstreamAttempt
 from load_balancer.proxy.upstream_connection import UpstreamResources
@@ -94,7 +96,7 @@
         pool_limits = PoolLimits(config.connect_timeout, config.idle_timeout, limits.upstreams)
         self.pool = UpstreamPool(loop, pool_limits, self, UpstreamResources(self.budget, scheduler))
         executor = CommandExecutor(
-            loop, self.requests, self.pool, self.policy_runner.submit, self._drop_client
+            loop, self.requests, self.pool, self.policy_runner.submit, self._end_without_client
         )
         self.policy_runner.handlers.update(executor.handlers())
         self.listener = Listener(loop, config, self, limits.clients, self.budget, scheduler)
@@ -189,10 +191,20 @@
         # far) matches no attempt.
         self.pool.cancel_unsent(request_id, pending.attempts - 1)
 
-    def _drop_client(self, request_id: int, client: ClientConnection) -> None:
-        """End a request whose client has disconnected, before the event loop has read the end of file."""
-        client.transport.abort()
-        self.on_client_disconnected(request_id)
+    def _end_without_client(
+        self, request_id: int, client: ClientConnection, presence: ClientPresence
+    ) -> None:
+        """End a request for which no attempt may begin, since its client has disconnected or may have."""
+        if presence is ClientPresence.DISCONNECTED:  # the event loop has not read the end of file yet
+            client.transport.abort()
+            self.on_client_disconnected(request_id)
+            return
+        pending = self.requests.pending.get(request_id)
+        if pending is not None:
+            self.requests.counters["requests ended behind unread input"] += 1
+            status = HTTPStatus.BAD_GATEWAY if pending.message.was_sent else HTTPStatus.SERVICE_UNAVAILABLE
+            self.requests.respond(request_id, status)
+            self._cancel_request(request_id, pending)
 
     # AttemptHandler: called by the upstream pool.
 
@@ -207,12 +219,15 @@
     def check_client_before_send(self, attempt: UpstreamAttempt) -> bool:
         """Return whether the client is still connected; if not, end its request and the attempt."""
         pending = self.requests.pending.get(attempt.request_id)
-        if pending is not None and pending.client.reader.is_disconnected():
-            # While reading from the client is paused, the disconnect would only be detected by the listener's
-            # next sweep, after the attempt was sent.
-            self._drop_client(attempt.request_id, pending.client)
-            return False
-        return True
+        if pending is None:
+            return True
+        # While reading from the client is paused, the disconnect would only be detected by the listener's
+        # next sweep, after the attempt was sent.
+        presence = pending.client.presence()
+        if presence is ClientPresence.CONNECTED:
+            return True
+        self._end_without_client(attempt.request_id, pending.client, presence)
+        return False
 
     def on_attempt_ended(
         self, attempt: UpstreamAttempt, result: AttemptResult, response: UpstreamResponse | None
--- a/tests/proxy/test_client_disconnect_races.py
+++ b/tests/proxy/test_client_disconnect_races.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from load_balancer.policy.events import AttemptResult, RequestCancelled
+from load_balancer.policy.events import AttemptResult, RequestArrived, RequestCancelled
 from load_balancer.policy.settings import Settings
 from load_balancer.proxy import listener as listener_module
+from load_balancer.proxy.socket_reader import MAX_HIDDEN_CLOSE_S
 from tests.proxy.harness import make_config, run, running_node
 from tests.proxy.race_helpers import connect_raw, hold_connections, wait_until
 from tests.proxy.stubs import TIMEOUT_S, UpstreamStub, make_request, never_respond, respond_after
@@ -177,3 +178,29 @@
             )
 
     run(test())
+
+
+def test_no_retry_begins_while_unread_input_may_hide_that_the_client_has_left() -> None:
+    release = asyncio.Event()
+
+    async def reset_after_release(upstream: UpstreamStub, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.transport.abort()
+
+    async def test() -> None:
+        upstreams = [await UpstreamStub(reset_after_release).start() for _ in range(2)]
+        async with running_node(*upstreams, attempt_limit=2) as harness:
+            client = await harness.connect()
+            client.writer.write(make_request())
+            await harness.next_event(RequestArrived)
+            (connection,) = harness.node.listener.connections
+            connection.reader.pause()
+            client.writer.write(make_request())
+            await wait_until(lambda: sum(upstream.requests.qsize() for upstream in upstreams) == 1)
+            await asyncio.sleep(2 * MAX_HIDDEN_CLOSE_S)
+            release.set()
+            # The status is not 503, since the first attempt may have run.
+            assert (await client.receive())[0] == 502
+            assert sum(upstream.connections for upstream in upstreams) == 1
+
+    run(test())
--- a/tests/proxy/test_memory_budget.py
+++ b/tests/proxy/test_memory_budget.py
@@ -7,7 +7,8 @@
 import pytest
 
 from load_balancer.policy.events import AttemptResult
-from load_balancer.proxy import client_connection, memory_budget
+from load_balancer.proxy import memory_budget
+from load_balancer.proxy.socket_reader import MAX_HIDDEN_CLOSE_S
 from load_balancer.proxy.upstream_connection import CONNECTION_BYTES
 from tests.proxy.harness import NodeHarness, run, running_node
 from tests.proxy.race_helpers import wait_until
@@ -49,7 +50,7 @@
             for _ in range(203):
                 status, head, _ = await client.receive()
                 assert (status, header(head, b"Connection")) == (503, None) and header(head, b"Retry-After")
-            await asyncio.sleep(2 * client_connection.SHED_PAUSE_S)
+            await asyncio.sleep(2 * MAX_HIDDEN_CLOSE_S)
             assert (await client.exchange(make_request()))[0] == 200
 
     run(test())
