Reject an id of the class that must run once after its response, too

Cause: an id was kept only if the client left before the response. The node can't know whether a response that it has written reached a client that leaves then.

Change: ids of requests that were written to an endpoint and whose class is not idempotent are retired with their response, for 60 s, in the same bounded memory.

--- a/load_balancer/proxy/client_connection.py
+++ b/load_balancer/proxy/client_connection.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import cast
 
-from load_balancer.proxy.client_context import ClientContext
+from load_balancer.proxy.client_context import ERROR_RESPONSES, NOT_READING, SHED_REQUESTS, ClientContext
 from load_balancer.proxy.client_input import ClientInput
 from load_balancer.proxy.client_request import ClientRequest, ErrorResponse, QueuedItem, ShedRequests
 from load_balancer.proxy.client_response import CONTINUE_RESPONSE, encode_response
@@ -22,11 +22,6 @@
 CONNECTION_BYTES = 2600  # memory of the objects of a connection with an incomplete request
 SHORT_INPUT_BYTES = 2048  # input that is kept even if it does not fit the memory budget
 
-# Names of the counters in the log.
-SHED_REQUESTS = "requests rejected for memory"
-NOT_READING = "clients aborted for not reading"
-ERROR_RESPONSES = "input rejected with"
-
 
 class ClientConnection(asyncio.BufferedProtocol):
     """Accepted connection of a client, until it is lost.
@@ -327,8 +322,10 @@
             self._context.table.request_ids.retire(self._request_in_flight.client_request_id)
 
     def _release_request_id(self) -> None:
-        if self._request_in_flight is not None:
-            self._context.table.request_ids.release(self._request_in_flight.client_request_id)
+        if (request := self._request_in_flight) is not None:
+            self._context.table.request_ids.release(request.client_request_id)
+            if request.must_run_once and request.message.was_sent:
+                self.retire_request_id()
 
     def _may_keep_alive(self) -> bool:
         """Whether the node keeps the connection open; requests that it has read are served first."""
--- a/load_balancer/proxy/client_context.py
+++ b/load_balancer/proxy/client_context.py
@@ -17,6 +17,11 @@
 if TYPE_CHECKING:
     from load_balancer.proxy.client_connection import ClientConnection
 
+# Names of the counters in the log.
+SHED_REQUESTS = "requests rejected for memory"
+NOT_READING = "clients aborted for not reading"
+ERROR_RESPONSES = "input rejected with"
+
 
 class RequestHandler(Protocol):
     """Serves the requests of client connections."""
--- a/load_balancer/proxy/client_request.py
+++ b/load_balancer/proxy/client_request.py
@@ -32,6 +32,8 @@
     cost_hint: float
     """Processing time in ms that the client expects, or 0 if unknown."""
     is_client_retry: bool
+    must_run_once: bool
+    """Whether the request class is not idempotent, with or without a key."""
     keep_alive: bool
     """Whether the client wants the connection kept open after the response."""
     held_bytes: int = 0
--- a/load_balancer/proxy/request_ids.py
+++ b/load_balancer/proxy/request_ids.py
@@ -7,7 +7,7 @@
 
 from load_balancer.proxy.stable_id import stable_id
 
-RETENTION_S = 60.0  # time for which the id of a request that may run without a client is remembered
+RETENTION_S = 60.0  # time for which a retired id is in use
 BYTES_PER_RETIRED_ID = 128  # memory of one such id
 MIN_RETIRED_IDS = 1024
 
@@ -16,7 +16,7 @@
 
 
 class RequestIds:
-    """Ids of open requests, and of requests whose clients left while an attempt may have been running.
+    """Ids of open requests, and retired ids: of requests that may run without a client or must not run twice.
 
     Args:
         time: Clock in s.
@@ -47,7 +47,7 @@
         self.open_ids.discard(client_request_id)
 
     def retire(self, client_request_id: bytes) -> None:
-        """Keep the id of a request in use that may run although its client has left."""
+        """Keep the id of a request in use that may run although its client has left, or must run once."""
         self._forget_expired()
         if len(self._retired) >= self._max_retired:
             del self._retired[next(iter(self._retired))]
--- a/load_balancer/proxy/request_validation.py
+++ b/load_balancer/proxy/request_validation.py
@@ -79,6 +79,7 @@
             timeout=headers.timeout,
             cost_hint=headers.cost_hint,
             is_client_retry=headers.is_client_retry,
+            must_run_once=rules.idempotency is Idempotency.NOT_IDEMPOTENT,
             keep_alive=keep_alive,
         )
 
--- a/tests/proxy/test_client_connection.py
+++ b/tests/proxy/test_client_connection.py
@@ -131,6 +131,19 @@
     run(test())
 
 
+def test_id_of_a_request_that_must_run_once_is_rejected_after_its_response() -> None:
+    # The client may have left before the response reached it, and send the request again.
+    async def test() -> None:
+        upstream = await UpstreamStub().start()
+        async with running_node(upstream) as harness:
+            request = make_request("pay")
+            assert (await (await harness.connect()).exchange(request))[0] == 200
+            assert (await (await harness.connect()).exchange(request))[0] == 409
+            assert upstream.requests.qsize() == 1
+
+    run(test())
+
+
 def test_request_ids_are_released_when_client_disconnects() -> None:
     # An id that is never released would make the node reject every later request with the same id.
     async def test() -> None:
