Add a seeded soak with a fault proxy, failing system calls, hostile clients and signals

Checked: the process lives, its peak memory, each good request answered in time, no exception in the log, no attempt for a client that has left and no second run of its id.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -25,6 +25,7 @@
     policy_cost,
     slow_start,
     slow_start_chance,
+    soak,
     subsetting,
 )
 from benchmarks.child_process import NodeCommand
@@ -72,6 +73,7 @@
 python -m benchmarks slow-start --nodes 5,30,200  # attempts of all nodes at a new endpoint
 python -m benchmarks slow-start-chance  # probability that the nodes together overload it
 python -m benchmarks client-pressure --clients 600  # a node with clients that misuse it
+python -m benchmarks soak --seeds 50  # a node under faults, hostile clients and signals
 """
 
 
@@ -262,5 +264,40 @@
     show_table(f"a node of {memory_mb} MB and {descriptors} descriptors for {seconds:g} s", rows, file)
 
 
+@main.command("soak")
+@click.option("--first-seed", default=1)
+@click.option("--seeds", default=50, help="Number of runs, one for each seed.")
+@click.option("--seconds", default=8.0, help="Seconds before the shutdown of each run.")
+@click.option("--root", default=str(REPOSITORY_ROOT), help="Checkout from which the node is run.")
+@json_option
+def soak_command(first_seed: int, seeds: int, seconds: float, root: str, file: str | None) -> None:
+    """Run a node under faults, hostile clients and signals, and check the rules of the protocol."""
+    rows = []
+    for seed in track(range(first_seed, first_seed + seeds), "seeds", console=_progress_console):
+        result = uvloop.run(soak.soak(seed, seconds, Path(root)))
+        rows.append(_soak_row(result))
+    show_table(f"soak, {seconds:g} s before the shutdown", rows, file)
+    if any(row["violations"] for row in rows):
+        sys.exit(1)
+
+
+def _soak_row(result: soak.SoakResult) -> Row:
+    scenario, statuses = result.scenario, result.statuses
+    return {
+        "seed": scenario.seed,
+        "limits": f"{scenario.memory_mb} MB, {scenario.descriptors}",
+        "hostile": ", ".join(f"{count} {behaviour}" for behaviour, count in scenario.hostile),
+        "faults": f"{scenario.upstream_faults.reset:g}, 1 call in {scenario.failing_calls}",
+        "peak": result.peak_memory,
+        "200": statuses[200],
+        "503": statuses[503],
+        "other": sum(statuses.values()) - statuses[200] - statuses[503],
+        "p99_ms": result.p99_ms,
+        "left": result.departures,
+        "end_s": "killed" if result.ended_after_s is None else result.ended_after_s,
+        "violations": ", ".join(f"{text} {count}" for text, count in result.violations.items()),
+    }
+
+
 if __name__ == "__main__":
     main()
--- a/benchmarks/client_pressure.py
+++ b/benchmarks/client_pressure.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import asdict, dataclass
 from pathlib import Path
@@ -53,6 +53,14 @@
     """Exceptions in the node's log."""
 
 
+@dataclass(frozen=True, slots=True)
+class NodeLimits:
+    """Limits in the node's configuration."""
+
+    memory_mb: int = LEAST_MEMORY_MB
+    descriptors: int = DESCRIPTORS
+
+
 def pressure_settings() -> dict[str, Any]:
     """Return settings with a class of each kind of idempotency."""
     classes = [
@@ -129,13 +137,15 @@
         return status == 200
 
 
-def node_environment(config_path: Path, **extra: str) -> dict[str, str]:
+def node_environment(config_path: Path) -> dict[str, str]:
     """Return the environment of a node, with no other variables that it reads."""
     environ = {key: value for key, value in os.environ.items() if not key.startswith("ROUTER_")}
-    return environ | {"ROUTER_CONFIG": str(config_path)} | extra
+    return environ | {"ROUTER_CONFIG": str(config_path)}
 
 
-async def start_node(root: Path, config_path: Path, port: int, **extra: str) -> NodeUnderTest:
+async def start_node(
+    root: Path, config_path: Path, port: int, environment: Mapping[str, str]
+) -> NodeUnderTest:
     """Start a node with ``run`` of the checkout's deploy file."""
     command = tomllib.loads((root / "deploy/balancer.toml").read_text())["run"]
     if not (root / ".venv").exists():
@@ -143,7 +153,7 @@
     process = await asyncio.create_subprocess_exec(
         *("/bin/sh", "-c", command),
         cwd=root,
-        env=node_environment(config_path, **extra),
+        env={**node_environment(config_path), **environment},
         stdin=asyncio.subprocess.DEVNULL,
         stderr=asyncio.subprocess.PIPE,
     )
@@ -155,25 +165,34 @@
 @asynccontextmanager
 async def running_pressure_node(
     discovery: LiveDiscovery,
-    memory_mb: int = LEAST_MEMORY_MB,
-    descriptors: int = DESCRIPTORS,
+    limits: NodeLimits,
     root: Path = REPOSITORY_ROOT,
+    discovery_port: int | None = None,
+    environment: Mapping[str, str] | None = None,
 ) -> AsyncIterator[NodeUnderTest]:
-    """Run a node that is ready until the block ends, and kill it then."""
+    """Run a node that is ready until the block ends, and kill it then.
+
+    Args:
+        discovery: Discovery, whose list is the node's cached list.
+        limits: The node's limits.
+        root: Checkout from which the node is run.
+        discovery_port: Port of a proxy before discovery, if there is one.
+        environment: Further environment variables of the node.
+    """
     port = find_free_port()
     config = {
         "name": NodeUnderTest.name,
         "listen": f"127.0.0.1:{port}",
-        "discovery": f"127.0.0.1:{discovery.port}",
+        "discovery": f"127.0.0.1:{discovery_port or discovery.port}",
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors},
+        "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.descriptors},
         "known": discovery.snapshot(),
         "settings": pressure_settings(),
     }
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(config))
-        node = await start_node(root, path, port)
+        node = await start_node(root, path, port, environment or {})
         try:
             await node.wait_until_ready()
             yield node
@@ -203,7 +222,7 @@
     """Run good clients beside ``clients`` of the given behaviour, and measure the node."""
     servers = await start_app_servers(APP_SERVERS)
     discovery = await LiveDiscovery([server.entry() for server in servers]).start()
-    async with running_pressure_node(discovery, memory_mb, descriptors, root) as node:
+    async with running_pressure_node(discovery, NodeLimits(memory_mb, descriptors), root) as node:
         process = psutil.Process(node.pid)
         good = GoodClients(node.port)
         good.start(GOOD_CLIENTS)
@@ -217,7 +236,8 @@
         processor_s = sum(process.cpu_times()[:2]) - before if alive else 0.0
         peak = peak_memory(node.pid) if alive else 0.0
     tracebacks = sum(line.text.startswith("Traceback") for line in node.output_lines)
-    return _result(plan, memory_mb, results, NodeUsage(alive, peak, processor_s, tracebacks))
+    usage = NodeUsage(alive, peak, processor_s, tracebacks)
+    return _result(plan, memory_mb, results, usage, lost_requests(results, servers))
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,8 +250,14 @@
     tracebacks: int
 
 
+def lost_requests(results: GoodClientResults, servers: list[AppServer]) -> int:
+    """Return the number of requests without an answer in time, or forwarded and closed without an answer."""
+    forwarded = {arrival.request_id for server in servers for arrival in server.arrivals}
+    return results.unanswered + sum(request_id in forwarded for request_id in results.closed_ids)
+
+
 def _result(
-    plan: HostilePlan, memory_mb: int, results: GoodClientResults, usage: NodeUsage
+    plan: HostilePlan, memory_mb: int, results: GoodClientResults, usage: NodeUsage, unanswered: int
 ) -> PressureResult:
     rejected = results.statuses[503] + results.statuses[429]
     return PressureResult(
@@ -243,7 +269,7 @@
         served=results.statuses[200],
         rejected=rejected,
         failed=sum(results.statuses.values()) - rejected - results.statuses[200],
-        unanswered=results.unanswered,
+        unanswered=unanswered,
         not_connected=results.not_connected,
         p50_ms=results.percentile_ms(0.5),
         p99_ms=results.percentile_ms(0.99),
--- a/benchmarks/good_clients.py
+++ b/benchmarks/good_clients.py
@@ -27,7 +27,12 @@
     statuses: Counter[int] = field(default_factory=Counter)
     latencies: list[float] = field(default_factory=list)
     unanswered: int = 0
-    """Requests without an answer in time, among them those whose connection was closed."""
+    """Requests without an answer in time on an open connection."""
+    closed_ids: list[bytes] = field(default_factory=list)
+    """Ids of requests whose connection was closed before any byte of an answer.
+
+    The close may have crossed the request, unless the node has forwarded it.
+    """
     not_connected: int = 0
 
     def percentile_ms(self, share: float) -> float:
@@ -36,22 +41,26 @@
         return ordered[min(len(ordered) - 1, int(share * len(ordered)))] * 1000 if ordered else 0.0
 
 
-def good_request(class_name: str, body: bytes = b"", request_id: str | None = None) -> bytes:
+def next_request_id() -> str:
+    """Return an id that no other client has."""
+    return f"9{next(_numbers):015x}"
+
+
+def good_request(class_name: str, request_id: str, body: bytes = b"") -> bytes:
     """Return a request in the form of its class."""
-    number = next(_numbers)
     fields = {
         "Host": "backend.local",
-        "Request-Id": request_id or f"9{number:015x}",
+        "Request-Id": request_id,
         "Tenant": "acme",
         "Request-Timeout": f"{REQUEST_TIMEOUT_MS}m",
     }
     if class_name == "book":
-        fields["Idempotency-Key"] = f"key{number}"
+        fields["Idempotency-Key"] = f"key{request_id}"
     if class_name != "find":
         fields["Content-Length"] = str(len(body))
     method = "GET" if class_name == "find" else "POST"
     lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    return f"{method} /{class_name}/{number % 64} HTTP/1.1\r\n{lines}\r\n".encode() + body
+    return f"{method} /{class_name}/{request_id[-2:]} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
 
 async def read_response(reader: asyncio.StreamReader) -> tuple[int, bytes]:
@@ -112,7 +121,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, class_name: str
     ) -> bool:
         """Send a request and record its response; return whether the connection can be used again."""
-        request = good_request(class_name, self._body if class_name != "find" else b"")
+        request_id = next_request_id()
+        request = good_request(class_name, request_id, self._body if class_name != "find" else b"")
         if reader.at_eof():
             return False
         started = time.monotonic()
@@ -120,14 +130,12 @@
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_MS / 1000 + ANSWER_SLACK_S):
                 status, head = await read_response(reader)
-        except asyncio.IncompleteReadError as error:
-            # An idle connection may be closed; if that crosses a request, the client sends it once more.
-            if error.partial or not reader.at_eof():
-                self.results.unanswered += 1
-            return False
-        except OSError:
+        except TimeoutError:
             self.results.unanswered += 1
             return False
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.results.closed_ids.append(request_id.encode())
+            return False
         self.results.latencies.append(time.monotonic() - started)
         self.results.statuses[status] += 1
         return b"connection: close" not in head.lower()
