Read on after the turn in which the last unparsed input was parsed

Evidence: a log of each connection's state (trial): RECEIVING, reading paused, no turn coming, unread data, until 408.

Change: after such a turn the connection reads on.

--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -22,6 +22,7 @@
 BODY_BYTES = 60_000
 DECLARED_BODY_BYTES = 65_536
 PIPELINED_REQUESTS = 12
+PIPELINED_SHORT_REQUESTS = 300
 TINY_CHUNKS = 12_000
 FLOOD_BLOCK_REQUESTS = 4000  # requests in one write
 HANG_UP_BYTES = 4_000_000  # about what the buffers of a connection hold
@@ -36,10 +37,18 @@
     """Connect and send nothing."""
     SHORT_FIELDS = "short-fields"
     """Send a head of very many short header fields, without its end."""
+    LARGE_HEAD = "large-head"
+    """Send a head of a few long header fields, without its end."""
     STALLED_BODY = "stalled-body"
     """Send all but the end of a large body."""
     PIPELINED_BODIES = "pipelined-bodies"
     """Send many whole requests with large bodies at once."""
+    PIPELINED_SHORT = "pipelined-short"
+    """Send hundreds of whole requests without a body at once."""
+    CHUNK_EXTENSIONS = "chunk-extensions"
+    """Send a chunked body whose framing is far larger than its data, without its end."""
+    WAITING_FOR_CONTINUE = "waiting-for-continue"
+    """Send heads that expect 100 Continue, and no body."""
     TINY_CHUNKS = "tiny-chunks"
     """Send a chunked body in chunks of one byte, without its end."""
     UNFINISHED_RESPONSES = "unfinished-responses"
@@ -86,6 +95,12 @@
     return head + fields[: (HEAD_BYTES - len(head)) // 5 * 4]
 
 
+def _large_head() -> bytes:
+    head = request_head("GET", "/find/" + "u" * 1000)
+    field = b"X-Long: " + b"y" * 3000 + b"\r\n"
+    return head + field * ((HEAD_BYTES - len(head)) // len(field))
+
+
 def _body_request(declared: int, sent: int) -> bytes:
     return request_head("POST", "/pay/1", f"Content-Length: {declared}\r\n") + b"\r\n" + b"x" * sent
 
@@ -94,6 +109,15 @@
     return b"".join(_body_request(BODY_BYTES, BODY_BYTES) for _ in range(PIPELINED_REQUESTS))
 
 
+def _pipelined_short() -> bytes:
+    return b"".join(request_head("GET", f"/find/{i}") + b"\r\n" for i in range(PIPELINED_SHORT_REQUESTS))
+
+
+def _chunk_extensions() -> bytes:
+    head = request_head("POST", "/pay/1", "Transfer-Encoding: chunked\r\n")
+    return head + b"\r\n" + (b"1;" + b"e" * 1000 + b"\r\nx\r\n") * 100
+
+
 def _tiny_chunks() -> bytes:
     head = request_head("POST", "/pay/1", "Transfer-Encoding: chunked\r\n")
     return head + b"\r\n" + b"1\r\nx\r\n" * TINY_CHUNKS
@@ -124,6 +148,12 @@
 PAYLOADS: dict[Behaviour, Callable[[], bytes]] = {
     Behaviour.IDLE: bytes,
     Behaviour.SHORT_FIELDS: _short_fields,
+    Behaviour.LARGE_HEAD: _large_head,
+    Behaviour.PIPELINED_SHORT: _pipelined_short,
+    Behaviour.CHUNK_EXTENSIONS: _chunk_extensions,
+    Behaviour.WAITING_FOR_CONTINUE: lambda: (
+        request_head("POST", "/pay/1", f"Content-Length: {BODY_BYTES}\r\nExpect: 100-continue\r\n") + b"\r\n"
+    ),
     Behaviour.STALLED_BODY: lambda: _body_request(DECLARED_BODY_BYTES, BODY_BYTES),
     Behaviour.PIPELINED_BODIES: _pipelined_bodies,
     Behaviour.TINY_CHUNKS: _tiny_chunks,
--- a/load_balancer/proxy/client_connection.py
+++ b/load_balancer/proxy/client_connection.py
@@ -26,9 +26,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """Accepted connection of a client, until it is lost.
 
-    Requests are served one at a time: the response to a request is written before the next request is passed
-    to the handler. Input is read all the time, since unread input would hide that the client has left.
-    Requests that don't fit the memory budget are rejected with 503 when their turn comes.
+    Requests are served one at a time, in order; those that don't fit the memory budget are rejected with 503.
+    Input is read all the time, since unread input would hide that the client has left.
     """
 
     __slots__ = (
@@ -143,6 +142,8 @@
         elif exceeds_share or self.input.can_parse:
             self._context.scheduler.record(parse_time)
             self._wait_for_turn()
+        elif not self._has_turn_coming:
+            self.reader.resume()
 
     def _wait_for_turn(self) -> None:
         if not self._has_turn_coming and not self.transport.is_closing():
