Count the timeout of a request from its own start while others are shed

Seen by callers: found by reading on the way: a client whose requests are shed for 2 s without a pause got 408.

Cause: the table keeps the start time of a state that does not change. Of requests that are shed one after the other the connection stayed in RECEIVING, so all had the start of the first.

Change: the response to a shed request passes through SERVING, as any other does.

--- a/load_balancer/proxy/client_connection.py
+++ b/load_balancer/proxy/client_connection.py
@@ -274,6 +274,8 @@
             self.write_response(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _respond_to_shed(self, shed: ShedRequests) -> None:
+        # The timeout of the next request must not count from the start of this one.
+        self._context.table.set_state(self, ConnectionState.SERVING)
         count = min(shed.count, SHED_RESPONSES_PER_WRITE)
         shed.count -= count
         self._context.counts[SHED_REQUESTS] += count
