Count connections being opened against the memory budget

Cause: a connection is accounted for when its attempt is sent. Hundreds that were opened at once each saw the room that was there for one.

Change: the check before a connect counts those that are being opened.

--- a/load_balancer/proxy/upstream_pool.py
+++ b/load_balancer/proxy/upstream_pool.py
@@ -240,7 +240,10 @@
         open_connections = len(self.connections) + self.pending_connects
         if open_connections >= self.max_connections:
             return False
-        return self.resources.budget.has_room(CONNECTION_BYTES + ATTEMPT_BYTES)
+        # Connections being opened are not accounted for before their attempts are sent.
+        return self.resources.budget.has_room(
+            (self.pending_connects + 1) * (CONNECTION_BYTES + ATTEMPT_BYTES)
+        )
 
     async def _open_connection(self, upstream: Upstream) -> UpstreamConnection | None:
         """Return a new connection, or None if connecting failed or timed out, or the address is invalid."""
