Keep a connection open while its client goes on sending

Seen by callers: with many idle connections, or in a shutdown, a response closed its connection although the client had sent a part of its next request; the rest was discarded, without an answer.

Cause: only complete requests and unparsed input kept a connection open, not a request that is partly received nor input that is not read yet.

Change: both do now.

--- a/load_balancer/proxy/client_connection.py
+++ b/load_balancer/proxy/client_connection.py
@@ -75,7 +75,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Initialize the state; the connection waits for its first request."""
-        # The cast is needed, since uvloop's transports, which set TCP_NODELAY, don't derive from asyncio's.
+        # The cast is needed: uvloop's transports, which set TCP_NODELAY, don't derive from asyncio's.
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT)
         self._account.resize(CONNECTION_BYTES)
@@ -331,17 +331,15 @@
                 self.retire_request_id()
 
     def _may_keep_alive(self) -> bool:
-        """Whether the node keeps the connection open; requests that it has read are served first."""
-        if self.input.queue or self.input.unparsed:
+        """Whether the node keeps the connection open; what the client has sent is served first."""
+        if self.input.queue or self.input.unparsed or self.input.has_partial_request:
             return True
-        return not (self._context.handler.shutting_down or self._context.table.has_many_idle)
+        wants_close = self._context.handler.shutting_down or self._context.table.has_many_idle
+        return not wants_close or (not self.input.is_closed and self.reader.has_unread_data())
 
     def _close_after_response(self) -> None:
-        """Close the sending side only; the listener's sweep closes the connection later.
-
-        If there is unread data, a close now would reset the connection, and the client could lose the
-        response.
-        """
+        """Close the sending side only; the listener's sweep closes the connection later."""
+        # A close with unread data would reset the connection, and the client could lose the response.
         self.input.discard_queue()
         self.reader.resume()
         if not self.transport.is_closing() and self.transport.can_write_eof():
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -49,6 +49,20 @@
     run(test())
 
 
+def test_connection_stays_open_when_many_are_idle_if_its_client_has_begun_another_request() -> None:
+    async def test() -> None:
+        async with running_node(await UpstreamStub().start()) as harness:
+            harness.node.listener.connections.limit = 3
+            idle = await harness.connect()
+            assert (await idle.exchange(make_request()))[0] == 200
+            client, second = await harness.connect(), make_request("pay", body=b"x" * 20_000)
+            status, head, _ = await client.exchange(make_request() + second[:-1])
+            assert (status, header(head, b"Connection")) == (200, None)
+            assert (await client.exchange(second[-1:]))[0] == 200
+
+    run(test())
+
+
 def test_connection_limit_holds_if_none_is_idle_and_waiting_clients_are_served_later() -> None:
     release = asyncio.Event()
 
