Take no holder of memory for stalled while its input waits to be read

Seen by callers: nothing yet, by reading: a node that is busy for 0.3 s could take clients and endpoints for stalled that had sent all they had to, and reject their requests.

Cause: progress was recorded when input was parsed, whoever had made it wait.

Change: a holder with unread data in its socket does not give way.

--- a/load_balancer/proxy/client_connection.py
+++ b/load_balancer/proxy/client_connection.py
@@ -201,6 +201,8 @@
             return True
         if not self.input.has_partial_request or self.input.partial_bytes <= SHORT_INPUT_BYTES:
             return False
+        if self.reader.has_unread_data():  # the client has gone on
+            return False
         self.reject_input(self._context.validator.overload_response(keep_alive=False))
         return True
 
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -235,7 +235,7 @@
     def _give_up_response(self) -> bool:
         """End an attempt whose response has stopped half way, to free its memory."""
         attempt = self.attempt
-        if attempt is None:
+        if attempt is None or not self.is_reusable():  # unread data: the upstream has gone on
             return False
         self._fail_attempt(attempt, ResponseMemoryError())
         return True
