--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,27 +1,38 @@
-"""Discovery is cut off from a node for some seconds, and an app server begins to drain meanwhile."""
+"""Some answers of app servers have no length: they end with the connection."""
 
 # ruff: noqa: D102, PLR2004 (statuses of HTTP)
 
 from __future__ import annotations
 
 import asyncio
+import random
 import sys
 from pathlib import Path
 
-from standins import TROUBLE, AppServer, Clients, Discovery, Node, Record, main, settings
+from standins import TROUBLE, AppServer, Clients, Discovery, Node, Record, Run, answer_whole, main, settings
 
 SERVERS = 12
 RATE = 60.0  # requests per second
-DRAIN_GRACE_S = 1.0
-TOLD_AFTER_SILENCE_S = 6.0
-SLACK_S = 0.05  # by which every limit is longer on sockets
-CUT_S = 14.0  # the site's limit is 7 to 19 s
-DRAIN_AFTER_S = 1.0  # from the beginning of the cut
+SHARE_WITHOUT_LENGTH = 0.1
+SECONDS = 15.0
 
 
 async def play(record: Record, folder: Path, nodes: list[Node]) -> bool:
-    """Play the case and return whether the rule on drains held."""
-    servers = [AppServer(index, record, seed=6) for index in range(SERVERS)]
+    """Play the case and return whether half of the answers without a length were forwarded."""
+    chance = random.Random(7)
+    without_length: dict[bytes, Run] = {}  # by body, which names the server and the request
+
+    async def answer(server: AppServer, run: Run, writer: asyncio.StreamWriter) -> bool:
+        if not TROUBLE or chance.random() >= SHARE_WITHOUT_LENGTH:
+            return await answer_whole(server, run, writer)
+        body = f"no-length:{server.name}:{run.request_id}".encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n" + body)
+        await writer.drain()
+        without_length[body] = run
+        record.add("whole-answer-without-length", server=server.name, id=run.request_id)
+        return False  # the connection is closed, which ends the answer: nothing is reset
+
+    servers = [AppServer(index, record, seed=7, answer=answer) for index in range(SERVERS)]
     discovery = Discovery(record)
     await discovery.start()
     for server in servers:
@@ -29,36 +40,22 @@
         discovery.entries[server.name] = server.entry()
     node = Node("n0", folder, record)
     nodes.append(node)
-    await node.start(discovery.port, settings("push", DRAIN_GRACE_S * 1000), discovery.whole_list())
-    clients = Clients(node, record, RATE, seed=66)
-    sending = asyncio.ensure_future(clients.send_for(4.0 + CUT_S))
-    await asyncio.sleep(3.0)
-    drained = servers[0]
-    silent_at = record.now()
-    discovery.is_cut_off = TROUBLE
-    record.add("cut-off" if TROUBLE else "no-cut", seconds=CUT_S)
-    await asyncio.sleep(DRAIN_AFTER_S)
-    listed_at = record.now()
-    discovery.change(drained.entry("leaving"))
-    await asyncio.sleep(CUT_S - DRAIN_AFTER_S)
-    end_of_cut = record.now()
-    discovery.is_cut_off = False
-    await sending
+    await node.start(discovery.port, settings(), discovery.whole_list())
+    clients = Clients(node, record, RATE, seed=77)
+    await clients.send_for(SECONDS)
     await clients.finish()
-    told_at = silent_at + TOLD_AFTER_SILENCE_S if TROUBLE else listed_at
-    limit = told_at + DRAIN_GRACE_S + SLACK_S
-    late = [run for run in drained.runs if limit < run.first_byte_at < end_of_cut]
-    served = sum(answer.status == 200 for answer in clients.answered)
+    forwarded = [a for a in clients.answered if a.status == 200 and a.body in without_length]
+    lost_orders = {r.request_id for r in without_length.values() if r.class_name == "emitir-factura"}
+    told_failed = [a for a in clients.answered if a.request_id in lost_orders and a.status != 200]
     record.add(
         "result",
-        drained=drained.name,
-        limit=f"{limit:.3f}",
-        requests_to_it_after_the_limit=len(late),
-        last=f"{max((run.first_byte_at for run in drained.runs), default=0.0):.3f}",
-        served=served,
+        answers_without_length=len(without_length),
+        forwarded=len(forwarded),
+        invoices_issued_and_told_failed=len(told_failed),
+        served=sum(a.status == 200 for a in clients.answered),
         sent=len(clients.answered),
     )
-    return not late
+    return 2 * len(forwarded) >= len(without_length)
 
 
 if __name__ == "__main__":
