--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from standins import TROUBLE, AppServer, Clients, Discovery, Node, Record, main, settings
+from standins import TROUBLE, AppServer, CaseCannotRunError, Clients, Discovery, Node, Record, main, settings
 
 SERVERS = 12
 RATE = 60.0  # requests per second
@@ -36,6 +36,8 @@
     clients.more_lines = offer_in_first
     await clients.send_for(SECONDS)
     await clients.finish()
+    if not any(answer.status for answer in clients.answered):
+        raise CaseCannotRunError("nothing was answered")
     sent = {answer.request_id: answer for answer in clients.answered}
     changed = [
         run
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,7 +9,19 @@
 import sys
 from pathlib import Path
 
-from standins import TROUBLE, AppServer, Clients, Discovery, Node, Record, Run, answer_whole, main, settings
+from standins import (
+    TROUBLE,
+    AppServer,
+    CaseCannotRunError,
+    Clients,
+    Discovery,
+    Node,
+    Record,
+    Run,
+    answer_whole,
+    main,
+    settings,
+)
 
 SERVERS = 12
 RATE = 60.0  # requests per second
@@ -44,6 +56,8 @@
     clients = Clients(node, record, RATE, seed=77)
     await clients.send_for(SECONDS)
     await clients.finish()
+    if not any(a.status for a in clients.answered) or (TROUBLE and not without_length):
+        raise CaseCannotRunError("nothing was answered, or no answer was without a length")
     forwarded = [a for a in clients.answered if a.status == 200 and a.body in without_length]
     lost_orders = {r.request_id for r in without_length.values() if r.class_name == "emitir-factura"}
     told_failed = [a for a in clients.answered if a.request_id in lost_orders and a.status != 200]
