Forward the body of a request that offers an upgrade

What was sent behind such an offer in the same write was read, and its connection closed without an answer.

Cause: httptools ends a request that offers an upgrade at the end of its head, whatever its framing says, and raises HttpParserUpgrade. RequestParser.on_message_complete took the first for the end of the request, and ClientInput.on_upgrade_requested discarded the rest as input of the other protocol, though none was agreed to.

Evidence: the parser alone reports no body for such a request, in one piece as in single bytes, with a length as with chunks; without one of the two fields it does. The endpoint gets Content-Length: 0 and neither field.

Fix: the offer is ignored. While the body is missing, on_message_complete is not the end, and a new httptools parser goes on with a head that has only the request's framing. Input behind a request without a body goes to a new parser as it is.

--- a/load_balancer/proxy/client_input.py
+++ b/load_balancer/proxy/client_input.py
@@ -242,9 +242,3 @@
         self._append_shed(keep_alive)
         self.has_received_request = True
         self.has_partial_request = False
-
-    def on_upgrade_requested(self) -> None:
-        """Serve the request normally and close the connection after it: upgrades are not supported."""
-        self.discard_further()
-        if self.queue:
-            self.queue[-1].keep_alive = False
--- a/load_balancer/proxy/request_parser.py
+++ b/load_balancer/proxy/request_parser.py
@@ -37,16 +37,12 @@
     def on_request_discarded(self, keep_alive: bool) -> None:
         """Handle the end of a request of which nothing was kept."""
 
-    def on_upgrade_requested(self) -> None:
-        """Handle an upgrade to another protocol, requested by the request received last.
-
-        The data that follows it is not parsed.
-        """
-
 
 class RequestParser:
     """Parses the input of one client and notifies a receiver; httptools calls the ``on_`` methods.
 
+    An offer to change to another protocol (``Upgrade``) is ignored, as HTTP allows: all input is HTTP/1.1.
+
     ``close`` must be called when the connection ends: the httptools parser refers back to this object, and
     only the cyclic garbage collector would free the two.
     """
@@ -57,6 +53,7 @@
         "_headers",
         "_http_parser",
         "_receiver",
+        "_repeats_head",
         "_url",
         "_validator",
         "discards_all",
@@ -69,6 +66,7 @@
         self._validator = validator
         self._receiver = receiver
         self._http_parser = httptools.HttpRequestParser(self)
+        self._repeats_head = False  # whether the parser gets the head of the current request once more
         self.reset()
 
     @property
@@ -109,10 +107,8 @@
         """
         self.size += len(data)
         try:
-            self._http_parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._receiver.on_upgrade_requested()
-            return None
+            while data:
+                data = self._parse(data)
         except httptools.HttpParserError as error:
             return _error_response(error)
         if self._headers.complete:
@@ -122,13 +118,36 @@
             return ErrorResponse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         return None
 
+    def _parse(self, data: bytes | memoryview) -> bytes | memoryview:
+        """Parse bytes up to the end of a head that offers an upgrade, and return the rest."""
+        try:
+            self._http_parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            (head_end,) = offer.args
+            self._ignore_upgrade_offer()
+            return data[head_end:]
+        return b""
+
+    def _ignore_upgrade_offer(self) -> None:
+        """Go on with a new httptools parser, since the old one ends at the head that offers the upgrade.
+
+        If that request has a body, the new parser gets a head that says how the body is framed.
+        """
+        method, keep_alive = self._http_parser.get_method(), self._http_parser.should_keep_alive()
+        self._http_parser = httptools.HttpRequestParser(self)
+        if self._headers.complete:  # else the request had no body, and is complete
+            self._repeats_head = True
+            self._http_parser.feed_data(_framing_head(method, self._headers, keep_alive))
+            self._repeats_head = False
+
     def on_message_begin(self) -> None:
         """Notify the receiver that a request has started."""
-        self._receiver.on_request_started()
+        if not self._repeats_head:
+            self._receiver.on_request_started()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        if not self._discards_request:
+        if not self._discards_request and not self._repeats_head:
             self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -136,6 +155,8 @@
 
         httptools reports trailers here too. They count towards the size but must not be taken for headers.
         """
+        if self._repeats_head:
+            return
         headers = self._headers
         headers.size += len(name) + len(value) + _HEADER_LINE_OVERHEAD
         if headers.size > MAX_HEAD_SIZE:
@@ -148,6 +169,8 @@
 
     def on_headers_complete(self) -> None:
         """Check what can be checked before the body arrives."""
+        if self._repeats_head:
+            return
         headers, version = self._headers, self._http_parser.get_http_version()
         headers.complete = True
         if version not in ("1.0", "1.1"):
@@ -172,6 +195,8 @@
     def on_message_complete(self) -> None:
         """Validate the request and pass it to the receiver."""
         http_parser = self._http_parser
+        if http_parser.should_upgrade() and self._has_body():
+            return  # httptools calls this at the end of the head; the body goes to the next parser
         if self._discards_request:
             self.reset()
             self._receiver.on_request_discarded(http_parser.should_keep_alive())
@@ -182,6 +207,22 @@
         self._receiver.on_request_received(request)
         self.reset()
 
+    def _has_body(self) -> bool:
+        """Return whether a body follows the head; never after CONNECT, whose method is rejected."""
+        headers = self._headers
+        is_framed = headers.transfer_encoding is not None or headers.content_length > 0
+        return is_framed and self._http_parser.get_method() != b"CONNECT"
+
+
+def _framing_head(method: bytes, headers: RequestHeaders, keep_alive: bool) -> bytes:
+    """Return a head that frames the body as ``headers`` do, and offers no upgrade."""
+    if headers.transfer_encoding is not None:
+        framing = b"Transfer-Encoding: chunked"
+    else:
+        framing = b"Content-Length: %d" % headers.content_length
+    connection = b"keep-alive" if keep_alive else b"close"
+    return b"%b / HTTP/1.1\r\n%b\r\nConnection: %b\r\n\r\n" % (method, framing, connection)
+
 
 def _error_response(error: httptools.HttpParserError) -> ErrorResponse:
     """Return the response to a parser error: the response in an ``InvalidRequestError``, or 400.
--- a/tests/proxy/test_upstream_connection.py
+++ b/tests/proxy/test_upstream_connection.py
@@ -76,6 +76,10 @@
         ),
         (respond_with(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 8 + OK), AttemptResult.SUCCESS),
         (respond_with(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 9 + OK), AttemptResult.ERROR),
+        (
+            respond_with(OK.replace(b"\r\n\r\n", b"\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n")),
+            AttemptResult.SUCCESS,
+        ),
         (respond_with(b"HTTP/1.1 101 Go\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"), AttemptResult.ERROR),
         # Heads, bodies and trailers above the size limits fail at once, not at the deadline.
         (respond_with(b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20_000), AttemptResult.ERROR),
