Count apart how connections to upstreams are lost during attempts

Cause: an attempt ends as RESET whether its connection was closed in order, reset, or lost before any byte of a response, and the log counts them together.

Change: three counters in the regular report. The stub's reset_connection, which closed in order, now sends a reset.

--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -8,6 +8,7 @@
 import select
 import socket
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Protocol, cast
@@ -32,6 +33,11 @@
 CONNECTION_BYTES = 2500  # memory of the objects of an idle connection
 ATTEMPT_BYTES = 4000  # memory of the objects of a request and its attempt
 
+# Names of the counters in the log: how connections were lost during attempts, which then end as RESET.
+LOST_WITHOUT_RESPONSE = "connections lost without a response"
+RESPONSES_ENDED_EARLY = "responses ended early by a close"
+RESPONSES_RESET = "responses ended early by a reset"
+
 logger = logging.getLogger(__name__)
 
 
@@ -48,6 +54,7 @@
 class ConnectionOwner(Protocol):
     """Members of the pool that its connections use."""
 
+    counts: Counter[str]
     idle_timeout: AdaptiveIdleTimeout
     resources: UpstreamResources
 
@@ -134,8 +141,16 @@
             # upstream may have received the request and run it.
             self.attempt = None
             self._owner.idle_timeout.record_reuse(self._idle_before_attempt_ms, alive)
+            self._count_loss(has_response=alive, is_reset=exc is not None)
             self._owner.end_attempt(attempt, AttemptResult.RESET)
 
+    def _count_loss(self, has_response: bool, is_reset: bool) -> None:
+        if not has_response:
+            name = LOST_WITHOUT_RESPONSE
+        else:
+            name = RESPONSES_RESET if is_reset else RESPONSES_ENDED_EARLY
+        self._owner.counts[name] += 1
+
     def free_parser(self) -> None:
         """Free the parser of a connection that is idle or lost."""
         if self._parser is not None:
--- a/tests/proxy/stubs.py
+++ b/tests/proxy/stubs.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
@@ -15,6 +17,7 @@
     "book": Idempotency.KEYED,
     "pay": Idempotency.NOT_IDEMPOTENT,
 }
+CLOSE_WITH_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER: on, 0 s
 TIMEOUT_S = 10.0  # limit for anything that a test waits for; reached only if the test fails
 
 Responder = Callable[["UpstreamStub", bytes, asyncio.StreamWriter], Awaitable[None]]
@@ -45,8 +48,30 @@
     return respond
 
 
+def respond_and_close(data: bytes) -> Responder:
+    """Return a responder that writes ``data`` and closes the connection in order."""
+
+    async def respond(upstream: UpstreamStub, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        writer.close()
+
+    return respond
+
+
+def respond_and_reset(data: bytes) -> Responder:
+    """Return a responder that writes ``data`` and resets the connection."""
+
+    async def respond(upstream: UpstreamStub, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
+        await reset_connection(upstream, head, writer)
+
+    return respond
+
+
 async def reset_connection(upstream: UpstreamStub, head: bytes, writer: asyncio.StreamWriter) -> None:
     """Reset the connection instead of responding."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
     writer.transport.abort()
 
 
