Forward a response that gives no length once its connection ends in order

What callers saw: a response of an endpoint with neither a length nor chunks was never forwarded, although it came whole.

Cause: such a body ends with the connection. UpstreamConnection had no eof_received, so an orderly end and a reset both came as connection_lost, which ended the attempt as RESET.

Fix: eof_received tells the parser, which completes a response whose head has ended and gives no length. A reset, a part of a head, of a length or of chunks, and a transfer coding other than chunks end the attempt as before. A rejection (503 with Not-Started) without a length counts as one now, not as a possible run.

--- a/load_balancer/proxy/messages.py
+++ b/load_balancer/proxy/messages.py
@@ -6,6 +6,8 @@
 
 MAX_BODY_SIZE = 65536  # bytes
 MAX_HEAD_SIZE = 16384  # bytes of the start line and the header lines together
+# Headers, in lower case, that say where a body ends; without them a response ends with its connection.
+LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 @dataclass(slots=True)
--- a/load_balancer/proxy/response_parser.py
+++ b/load_balancer/proxy/response_parser.py
@@ -5,7 +5,7 @@
 import httptools
 
 from load_balancer.proxy.errors import MalformedResponseError
-from load_balancer.proxy.messages import MAX_BODY_SIZE, MAX_HEAD_SIZE, UpstreamResponse
+from load_balancer.proxy.messages import LENGTH_HEADERS, MAX_BODY_SIZE, MAX_HEAD_SIZE, UpstreamResponse
 
 MAX_RESPONSE_SIZE = MAX_HEAD_SIZE + 2 * MAX_BODY_SIZE  # bytes of head, body and chunk framing
 MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses before the final one
@@ -26,6 +26,7 @@
     __slots__ = (
         "_body",
         "_content_type",
+        "_has_length",
         "_head_complete",
         "_informational_count",
         "_parser",
@@ -40,6 +41,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
         self._content_type = b""
+        self._has_length = False  # whether the head says where the body ends, by its length or by chunks
         self._head_complete = False  # whether the head of the final response has ended
         self._informational_count = 0
         self.bytes_received = 0
@@ -80,6 +82,15 @@
         ):
             raise MalformedResponseError("response too large")
 
+    def end(self) -> None:
+        """Handle the orderly end of the connection: it completes a response whose head gives no length.
+
+        A body in a transfer coding other than chunks ends so, too, but can't be decoded; it stays incomplete.
+        """
+        if self._head_complete and not self._has_length and not self.complete:
+            self.complete = True
+            self.keep_alive = False
+
     def response(self) -> UpstreamResponse:
         """Return the complete response, whose body the parser does not keep."""
         body, self._body = self._body, bytearray()
@@ -99,6 +110,7 @@
             self.has_excess_data = True
             return
         self._body.clear()
+        self._has_length = False
         self.not_started = False
         self._content_type = b""
 
@@ -110,7 +122,9 @@
         # The length is checked before the body arrives, since the upstream may never send all of it.
         if lower == b"content-length" and int(value) > MAX_BODY_SIZE:
             raise ValueError("Content-Length too large")
-        if lower == b"not-started":
+        if lower in LENGTH_HEADERS:
+            self._has_length = True
+        elif lower == b"not-started":
             self.not_started = value == b"1"
         elif lower == b"content-type":
             self._content_type = value
--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -33,10 +33,11 @@
 CONNECTION_BYTES = 2500  # memory of the objects of an idle connection
 ATTEMPT_BYTES = 4000  # memory of the objects of a request and its attempt
 
-# Names of the counters in the log: how connections were lost during attempts, which then end as RESET.
+# Names of the counters in the log. The first three tell apart the attempts that ended as RESET.
 LOST_WITHOUT_RESPONSE = "connections lost without a response"
 RESPONSES_ENDED_EARLY = "responses ended early by a close"
 RESPONSES_RESET = "responses ended early by a reset"
+RESPONSES_WITHOUT_LENGTH = "responses without a length"  # complete ones
 
 logger = logging.getLogger(__name__)
 
@@ -129,6 +130,19 @@
         self.transport = cast(asyncio.Transport, transport)
         self.fd = transport.get_extra_info("socket").fileno()
 
+    def eof_received(self) -> None:
+        """Complete a response that gives no length; the transport then closes the connection.
+
+        A reset is no end of a response: it calls only ``connection_lost``.
+        """
+        attempt, parser = self.attempt, self._parser
+        if attempt is None or parser is None:
+            return
+        parser.end()
+        if parser.complete:
+            self._owner.counts[RESPONSES_WITHOUT_LENGTH] += 1
+            self._complete_attempt(attempt, parser)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the pool, and end the attempt in flight as RESET."""
         alive = self._parser is not None and self._parser.bytes_received > 0
--- a/tests/proxy/stubs.py
+++ b/tests/proxy/stubs.py
@@ -64,13 +64,18 @@
     async def respond(upstream: UpstreamStub, head: bytes, writer: asyncio.StreamWriter) -> None:
         writer.write(data)
         await writer.drain()
-        await reset_connection(upstream, head, writer)
+        reset(writer)
 
     return respond
 
 
 async def reset_connection(upstream: UpstreamStub, head: bytes, writer: asyncio.StreamWriter) -> None:
     """Reset the connection instead of responding."""
+    reset(writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection, whether or not anything is unread on it."""
     writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
     writer.transport.abort()
 
