Take a whole list of discovery that gives no length

What was seen: a discovery service that answers GET /catalog/members with neither a length nor chunks is never heard.

DiscoveryResponse.read takes the end of the connection for a loss, whatever the head says.

Fix: after a head that gives no length, the end of the connection ends the response. A reset does not, and a list that is cut short is rejected as invalid JSON.

--- a/load_balancer/proxy/discovery_response.py
+++ b/load_balancer/proxy/discovery_response.py
@@ -12,6 +12,7 @@
 from load_balancer.proxy.address import Address
 from load_balancer.proxy.clock import now_ms
 from load_balancer.proxy.errors import ConnectionClosedError, ResponseStatusError
+from load_balancer.proxy.messages import LENGTH_HEADERS
 
 READ_SIZE = 8192  # bytes; decoding them takes some ms at most, during which no other task runs
 MIN_TRANSFER_RATE = 1 << 20  # bytes/s; each byte extends its message's time limit by 1 / this rate
@@ -44,6 +45,8 @@
         self._timeouts = timeouts
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()  # the part of the body that read has not returned yet
+        self._has_length = False
+        self._ends_with_connection = False  # whether the head has ended and gives no length
         self._received_bytes = 0  # bytes of the body received so far
         self._clock = asyncio.get_running_loop().time
         self._next_read_timeout = timeouts.first_byte
@@ -59,14 +62,17 @@
 
         Raises:
             TimeoutError: No data arrived in time, or the message exceeded its time limit.
-            ConnectionClosedError: The connection was closed.
+            ConnectionClosedError: The connection was closed before the end of the response.
             ResponseStatusError: The status is not 200.
             httptools.HttpParserError: The data is not a valid HTTP response.
         """
         async with asyncio.timeout(min(self._next_read_timeout, self._message_time_left())):
             data = await self._reader.read(READ_SIZE)
         if not data:
-            raise ConnectionClosedError
+            if not self._ends_with_connection:
+                raise ConnectionClosedError
+            self.is_complete = True
+            return b""
         self._parser.feed_data(data)
         status = self._parser.get_status_code()
         if status not in (_STATUS_UNKNOWN, _STATUS_OK):
@@ -85,6 +91,15 @@
 
     # Callbacks of the HTTP parser.
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note whether the head gives a length."""
+        if name.lower() in LENGTH_HEADERS:
+            self._has_length = True
+
+    def on_headers_complete(self) -> None:
+        """Decide what ends the body."""
+        self._ends_with_connection = not self._has_length
+
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, from which the transfer encoding has been removed."""
         self._body += body
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -17,7 +17,8 @@
 from load_balancer.proxy.discovery_client import MAX_STALE_SNAPSHOTS
 from load_balancer.proxy.stable_id import stable_id
 from tests.proxy.harness import make_config, run, running_node
-from tests.proxy.stubs import TIMEOUT_S, DiscoveryStub, UpstreamStub, make_request
+from tests.proxy.race_helpers import wait_until
+from tests.proxy.stubs import TIMEOUT_S, DiscoveryStub, UpstreamStub, make_request, reset
 
 
 @pytest.mark.parametrize(
@@ -81,6 +82,45 @@
     assert ": contact again after " in caplog.text
 
 
+@pytest.mark.parametrize(
+    ("cut_bytes", "is_reset", "is_applied"),
+    [(0, False, True), (0, True, False), (1, False, False)],
+    ids=["whole", "reset after it", "cut short"],
+)
+def test_snapshot_without_a_length_is_applied_when_its_connection_ends(
+    cut_bytes: int, is_reset: bool, is_applied: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a node that never becomes ready, as the end of the list is taken for a loss; the calls
+    # after the first one get no response.
+    async def respond_without_length(
+        self: DiscoveryStub, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.targets.put_nowait((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode())
+        if self.targets.qsize() == 1:
+            body = json.dumps(self.snapshot).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body[: len(body) - cut_bytes])
+            await writer.drain()
+            if is_reset:
+                reset(writer)
+            writer.close()
+        await reader.read()
+
+    monkeypatch.setattr(DiscoveryStub, "serve", respond_without_length)
+
+    async def test() -> None:
+        async with running_node(await UpstreamStub().start(), load_cached_endpoints=None) as harness:
+            targets = harness.discovery.targets
+            await wait_until(lambda: targets.qsize() == 2)
+            assert harness.node.healthy is is_applied
+            assert harness.endpoint_ids() == ({stable_id(b"s-1")} if is_applied else set())
+            assert [targets.get_nowait() for _ in range(2)] == [
+                "/catalog/members",
+                "/catalog/members?watch=1&from=1" if is_applied else "/catalog/members",
+            ]
+
+    run(test())
+
+
 @pytest.mark.parametrize("has_cached_list", [True, False], ids=["watch", "snapshot"])
 def test_endless_slow_response_times_out(has_cached_list: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     # Each piece restarts the timeout of a read, so only the time limit of a whole message ends the call.
