Check invalid input beside an upgrade offer with the other invalid input

Cause: test_upgrade_offer.py had a check of its own for eight invalid requests, which stood in test_request_parser.py already and is stricter there (the next request of another client is served, and nothing else is forwarded).

Change: the eight requests join INVALID_INPUT, with their statuses.

--- a/tests/proxy/test_request_parser.py
+++ b/tests/proxy/test_request_parser.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import suppress
 from itertools import pairwise
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -100,6 +101,21 @@
 ]
 
 
+# Beside an offer to change the protocol, which is ignored, the same checks hold.
+OFFER_LINES = b"Connection: upgrade\r\nUpgrade: websocket\r\n"
+OFFER: dict[str, Any] = {"Connection": "upgrade", "Upgrade": "websocket"}
+INVALID_INPUT += [
+    (make_request(Content_Length="1", **OFFER) + b"x", 400),
+    (make_request("unknown", Content_Length="1", **OFFER) + b"x", 404),
+    (make_request("pay", Content_Length="1", **OFFER).replace(b"POST", b"PUT") + b"x", 405),
+    (make_request("pay", Content_Length="1", **OFFER).replace(b"POST", b"CONNECT") + b"x", 405),
+    (make_request("pay", Content_Length="70000", **OFFER), 413),
+    (framed_request(CHUNKED_LINE, OFFER_LINES, body=b"11000\r\n" + bytes(0x11000)), 413),
+    (framed_request(CHUNKED_LINE, OFFER_LINES, body=b"0\r\n" + b"a: b\r\n" * 300), 431),
+    (framed_request(CHUNKED_LINE, OFFER_LINES, body=b"8\r\norder\r\n\r\n0\r\n\r\n"), 400),
+]
+
+
 @pytest.mark.parametrize(("data", "status"), INVALID_INPUT, ids=range(len(INVALID_INPUT)))
 def test_invalid_input_gets_error_response_and_is_not_forwarded(data: bytes, status: int) -> None:
     async def test() -> None:
--- a/tests/proxy/test_upgrade_offer.py
+++ b/tests/proxy/test_upgrade_offer.py
@@ -16,13 +16,12 @@
 ]
 OFFER = OFFERS[1]
 BODY = b"order=1&" * 40
-CHUNKED_BODY = b"8;x=y\r\norder=1&\r\n" * 40 + b"0\r\nChecksum: 7\r\n\r\n"
 
 
 def chunked_request(**headers: Any) -> bytes:
     """Return a request with a chunked body and a trailer, which holds ``BODY``."""
     head = make_request("pay", Transfer_Encoding="chunked", **headers).replace(b"Content-Length: 0\r\n", b"")
-    return head + CHUNKED_BODY
+    return head + b"8;x=y\r\norder=1&\r\n" * 40 + b"0\r\nChecksum: 7\r\n\r\n"
 
 
 @pytest.mark.parametrize("offer", OFFERS, ids=["h2c", "websocket"])
@@ -108,35 +107,6 @@
     run(test())
 
 
-@pytest.mark.parametrize(
-    ("data", "status"),
-    [
-        (make_request(Content_Length="1", **OFFER) + b"x", 400),
-        (make_request("unknown", Content_Length="1", **OFFER) + b"x", 404),
-        (make_request("pay", Content_Length="1", **OFFER).replace(b"POST", b"PUT") + b"x", 405),
-        (make_request("pay", Content_Length="70000", **OFFER), 413),
-        (chunked_request(**OFFER).replace(CHUNKED_BODY, b"11000\r\n" + bytes(0x11000)), 413),
-        (chunked_request(**OFFER).replace(CHUNKED_BODY, b"0\r\n" + b"a: b\r\n" * 300), 431),
-        (chunked_request(**OFFER).replace(CHUNKED_BODY, b"8\r\norder\r\n\r\n0\r\n\r\n"), 400),
-        (make_request("pay", Content_Length="1", **OFFER).replace(b"POST", b"CONNECT") + b"x", 405),
-    ],
-    ids=range(8),
-)
-def test_invalid_request_with_an_upgrade_offer_is_not_forwarded(data: bytes, status: int) -> None:
-    # Guards against checks that are passed over because the body comes after the offer.
-    async def test() -> None:
-        upstream = await UpstreamStub().start()
-        async with running_node(upstream) as harness:
-            client = await harness.connect()
-            received_status, head, _ = await client.exchange(data + make_request())
-            assert (received_status, header(head, b"Connection")) == (status, b"close")
-            assert await client.read_to_end() == b""
-            assert upstream.requests.empty()
-            assert not harness.node.listener.connections.request_ids.open_ids
-
-    run(test())
-
-
 def test_fields_beside_an_upgrade_offer_are_not_counted_twice() -> None:
     # Guards against fields that are counted twice when parsing goes on after the offer.
     more = {f"X{number}": "y" for number in range(256 - 6)}
