Write the settings that two benchmarks share once

Change: both take them from fleet.py.

Result: the settings that both generate are the same as before, compared as JSON.

--- a/benchmarks/client_pressure.py
+++ b/benchmarks/client_pressure.py
@@ -17,6 +17,7 @@
 import psutil
 
 from benchmarks.child_process import ChildProcess, find_free_port
+from benchmarks.fleet import ALLOWED, OBLIGATIONS
 from benchmarks.good_clients import GoodClientResults, GoodClients, read_response
 from benchmarks.hostile_clients import HostilePlan
 from benchmarks.live_fleet import AppServer, LiveDiscovery
@@ -69,14 +70,7 @@
         {"Name": "pay", "Idempotency": "single_shot", "Aim": 500.0, "Deadline": 2000.0, "Worth": 3.0},
     ]
     return {
-        "Allowed": {
-            "ConnIdle": 15000.0,
-            "DialTimeout": 200.0,
-            "MaxAttempts": 4,
-            "MaxRetryAfter": 2000.0,
-            "MayCancel": True,
-            "RetryAfter": True,
-        },
+        "Allowed": ALLOWED,
         "Azs": list(ZONES),
         "Kinds": ["m1"],
         "Classes": [{"Group": "zone", "Window": 4000.0, "LateValue": 0.3, **entry} for entry in classes],
@@ -85,14 +79,7 @@
         "GroupSize": 1,
         "Me": 0,
         "MyZone": 0,
-        "Obligations": {
-            "AskWithin": 10000.0,
-            "ColdFrom": 0.34,
-            "DrainGrace": 1000.0,
-            "OverloadFor": 1000.0,
-            "RampTime": 8800.0,
-            "TipMultiple": 4.0,
-        },
+        "Obligations": OBLIGATIONS,
         "Tick": 5.0,
     }
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -20,6 +20,25 @@
 TOTAL_QUOTA_PER_S = 690_000.0  # requests per second, split evenly among the tenants
 SNAPSHOT_CHUNK_ENTRIES = 200  # entries in one chunk of a snapshot
 
+ALLOWED: dict[str, Any] = {
+    "ConnIdle": 15000.0,
+    "DialTimeout": 200.0,
+    "MaxAttempts": 4,
+    "MaxRetryAfter": 2000.0,
+    "MayCancel": True,
+    "RetryAfter": True,
+}
+"""What nodes are allowed to do, as the settings have it; times in ms."""
+OBLIGATIONS: dict[str, Any] = {
+    "AskWithin": 10000.0,
+    "ColdFrom": 0.34,
+    "DrainGrace": 1000.0,
+    "OverloadFor": 1000.0,
+    "RampTime": 8800.0,
+    "TipMultiple": 4.0,
+}
+"""What nodes have to keep, as the settings have it; times in ms."""
+
 
 def endpoint_name(number: int) -> str:
     """Return an endpoint's name: a hash of its number, which reveals no property, as in production."""
@@ -70,14 +89,7 @@
 ) -> dict[str, Any]:
     """Return the settings to encode as JSON; the request classes cycle through the kinds of idempotency."""
     return {
-        "Allowed": {
-            "ConnIdle": 15000.0,
-            "DialTimeout": 200.0,
-            "MaxAttempts": 4,
-            "MaxRetryAfter": 2000.0,
-            "MayCancel": True,
-            "RetryAfter": True,
-        },
+        "Allowed": ALLOWED,
         "Azs": ZONES,
         "Kinds": MACHINE_TYPES,
         "Classes": [_raw_class(i) for i in range(classes)],
@@ -86,14 +98,7 @@
         "GroupSize": node_count,
         "Me": node_index,
         "MyZone": node_index % len(ZONES),
-        "Obligations": {
-            "AskWithin": 10000.0,
-            "ColdFrom": 0.34,
-            "DrainGrace": 1000.0,
-            "OverloadFor": 1000.0,
-            "RampTime": 8800.0,
-            "TipMultiple": 4.0,
-        },
+        "Obligations": OBLIGATIONS,
         "Prices": {"CrossZone": 0.12},
         "Tick": 5.0,
     }
