Move the results of attempts into a module of their own

Change: attempt_results.py holds the result by status and the counters of lost connections. No behaviour changes.

--- a/load_balancer/proxy/upstream_connection.py
+++ b/load_balancer/proxy/upstream_connection.py
@@ -10,10 +10,10 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
-from http import HTTPStatus
 from typing import Protocol, cast
 
 from load_balancer.policy.events import AttemptResult
+from load_balancer.proxy.attempt_results import RESPONSES_WITHOUT_LENGTH, attempt_result, loss_counter
 from load_balancer.proxy.clock import now_ms
 from load_balancer.proxy.errors import ResponseMemoryError, UpstreamResponseError
 from load_balancer.proxy.idle_timeout import AdaptiveIdleTimeout
@@ -24,21 +24,10 @@
 from load_balancer.proxy.upstream import Upstream
 from load_balancer.proxy.upstream_attempt import UpstreamAttempt
 
-# Status codes are plain integers here, since looking up members of HTTPStatus is slow on the request path.
-STATUS_OK = HTTPStatus.OK.value
-# Together with the header "Not-Started: 1", these statuses prove that the request did not run.
-REJECTION_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE.value, HTTPStatus.GATEWAY_TIMEOUT.value)
-
 READ_BUFFER_SIZE = 8192  # bytes of one read
 CONNECTION_BYTES = 2500  # memory of the objects of an idle connection
 ATTEMPT_BYTES = 4000  # memory of the objects of a request and its attempt
 
-# Names of the counters in the log. The first three tell apart the attempts that ended as RESET.
-LOST_WITHOUT_RESPONSE = "connections lost without a response"
-RESPONSES_ENDED_EARLY = "responses ended early by a close"
-RESPONSES_RESET = "responses ended early by a reset"
-RESPONSES_WITHOUT_LENGTH = "responses without a length"  # complete ones
-
 logger = logging.getLogger(__name__)
 
 
@@ -71,15 +60,6 @@
         """Report the result of an attempt, with the response if it is complete."""
 
 
-def attempt_result(status: int, not_started: bool) -> AttemptResult:
-    """Return the result of an attempt whose response is complete."""
-    if status == STATUS_OK:
-        return AttemptResult.SUCCESS
-    if not_started and status in REJECTION_STATUSES:
-        return AttemptResult.REJECTED
-    return AttemptResult.ERROR
-
-
 class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection that carries one attempt at a time, and reports its result to the pool.
 
@@ -155,16 +135,9 @@
             # upstream may have received the request and run it.
             self.attempt = None
             self._owner.idle_timeout.record_reuse(self._idle_before_attempt_ms, alive)
-            self._count_loss(has_response=alive, is_reset=exc is not None)
+            self._owner.counts[loss_counter(has_response=alive, is_reset=exc is not None)] += 1
             self._owner.end_attempt(attempt, AttemptResult.RESET)
 
-    def _count_loss(self, has_response: bool, is_reset: bool) -> None:
-        if not has_response:
-            name = LOST_WITHOUT_RESPONSE
-        else:
-            name = RESPONSES_RESET if is_reset else RESPONSES_ENDED_EARLY
-        self._owner.counts[name] += 1
-
     def free_parser(self) -> None:
         """Free the parser of a connection that is idle or lost."""
         if self._parser is not None:
--- a/tests/proxy/test_connection_end.py
+++ b/tests/proxy/test_connection_end.py
@@ -7,7 +7,7 @@
 import pytest
 
 from load_balancer.policy.events import AttemptResult
-from load_balancer.proxy.upstream_connection import (
+from load_balancer.proxy.attempt_results import (
     LOST_WITHOUT_RESPONSE,
     RESPONSES_ENDED_EARLY,
     RESPONSES_RESET,
