Check messages in all forms between random clients and app servers

Cause: no check played the forms that HTTP/1.1 allows against each other, so a body lost behind an upgrade offer and a response that ends with its connection came to light by review only.

Change: `python -m benchmarks message-forms` draws a form, pieces and pipelining for each request and response; a tenth of the responses is cut or reset. What arrives must be what was sent whole.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import sys
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import asdict
 from pathlib import Path
@@ -20,6 +21,7 @@
 
 from benchmarks import (
     client_pressure,
+    forms_check,
     hollow_nodes,
     node_process,
     policy_cost,
@@ -281,21 +283,58 @@
         sys.exit(1)
 
 
+def _status_columns(statuses: Counter[int]) -> dict[str, int]:
+    return {
+        "200": statuses[200],
+        "503": statuses[503],
+        "other": statuses.total() - statuses[200] - statuses[503],
+    }
+
+
+def _violations_column(violations: Counter[str]) -> dict[str, str]:
+    return {"violations": ", ".join(f"{text} {count}" for text, count in violations.items())}
+
+
 def _soak_row(result: soak.SoakResult) -> Row:
-    scenario, statuses = result.scenario, result.statuses
+    scenario = result.scenario
     return {
         "seed": scenario.seed,
         "limits": f"{scenario.memory_mb} MB, {scenario.descriptors}",
         "hostile": ", ".join(f"{count} {behaviour}" for behaviour, count in scenario.hostile),
         "faults": f"{scenario.upstream_faults.reset:g}, 1 call in {scenario.failing_calls}",
         "peak": result.peak_memory,
-        "200": statuses[200],
-        "503": statuses[503],
-        "other": sum(statuses.values()) - statuses[200] - statuses[503],
+        **_status_columns(result.statuses),
         "p99_ms": result.p99_ms,
         "left": result.departures,
         "end_s": "killed" if result.ended_after_s is None else result.ended_after_s,
-        "violations": ", ".join(f"{text} {count}" for text, count in result.violations.items()),
+        **_violations_column(result.violations),
+    }
+
+
+@main.command("message-forms")
+@click.option("--first-seed", default=1)
+@click.option("--seeds", default=10, help="Number of runs, one for each seed.")
+@click.option("--seconds", default=4.0)
+@click.option("--root", default=str(REPOSITORY_ROOT), help="Checkout from which the node is run.")
+@json_option
+def message_forms_command(first_seed: int, seeds: int, seconds: float, root: str, file: str | None) -> None:
+    """Run a node between peers that use all forms of messages, and check what arrives."""
+    rows = []
+    for seed in track(range(first_seed, first_seed + seeds), "seeds", console=_progress_console):
+        result = uvloop.run(forms_check.check_forms(seed, seconds, Path(root)))
+        rows.append(_forms_row(result))
+    show_table(f"messages in all forms for {seconds:g} s", rows, file)
+    if any(row["violations"] for row in rows):
+        sys.exit(1)
+
+
+def _forms_row(result: forms_check.FormsResult) -> Row:
+    return {
+        "seed": result.seed,
+        **_status_columns(result.statuses),
+        "without_length": result.without_length,
+        "forwarded": result.without_length_forwarded,
+        **_violations_column(result.violations),
     }
 
 
--- a/benchmarks/client_pressure.py
+++ b/benchmarks/client_pressure.py
@@ -117,7 +117,7 @@
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
             writer.write(b"GET /_health HTTP/1.1\r\nHost: front\r\n\r\n")
-            status, _ = await read_response(reader)
+            status, _, _ = await read_response(reader)
             writer.close()
         except (OSError, asyncio.IncompleteReadError):
             return False
--- a/benchmarks/good_clients.py
+++ b/benchmarks/good_clients.py
@@ -63,12 +63,12 @@
     return f"{method} /{class_name}/{request_id[-2:]} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
 
-async def read_response(reader: asyncio.StreamReader) -> tuple[int, bytes]:
-    """Read one response, and return its status and head."""
+async def read_response(reader: asyncio.StreamReader) -> tuple[int, bytes, bytes]:
+    """Read one response, and return its status, head and body."""
     head = await reader.readuntil(b"\r\n\r\n")
     length = _CONTENT_LENGTH.search(head)
-    await reader.readexactly(int(length[1]) if length else 0)
-    return int(head.split(b" ", 2)[1]), head
+    body = await reader.readexactly(int(length[1]) if length else 0)
+    return int(head.split(b" ", 2)[1]), head, body
 
 
 class GoodClients:
@@ -129,7 +129,7 @@
         writer.write(request)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_MS / 1000 + ANSWER_SLACK_S):
-                status, head = await read_response(reader)
+                status, head, _ = await read_response(reader)
         except TimeoutError:
             self.results.unanswered += 1
             return False
