Move the commands on robustness out of the benchmarks' command line

Change: these three are in robustness_commands.py, the options that all commands share in options.py.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,61 +8,31 @@
 
 import asyncio
 import sys
-from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import asdict
-from pathlib import Path
-from typing import Any
 
 import click
 import uvloop
-from rich.console import Console
 from rich.progress import track
 
 from benchmarks import (
-    client_pressure,
-    forms_check,
     hollow_nodes,
     node_process,
     policy_cost,
+    robustness_commands,
     slow_start,
     slow_start_chance,
-    soak,
     subsetting,
 )
 from benchmarks.child_process import NodeCommand
 from benchmarks.discovery_stub import DiscoveryPlan
 from benchmarks.fleet import FLEET_NODES
-from benchmarks.hostile_clients import Behaviour
+from benchmarks.options import json_option, numbers_option, progress_console
 from benchmarks.policy_cost import Cost
 from benchmarks.report import REPOSITORY_ROOT, Row, growth_rows, show_table, write_json
 from benchmarks.slow_start import Scenario
 
 ENDPOINT_COUNTS = "200,2000,20000,95000"
-_progress_console = Console(stderr=True)
-
-
-def parse_numbers(text: str) -> list[int]:
-    """Parse integers separated by commas; underscores may group the digits."""
-    try:
-        return [int(word.replace("_", "")) for word in text.split(",")]
-    except ValueError:
-        raise click.BadParameter(f"{text!r} is not a list of integers separated by commas") from None
-
-
-def numbers_option(name: str, variable: str, default: str, help_text: str = "") -> Callable[..., Any]:
-    """Return an option that takes a list of integers."""
-    return click.option(
-        name, variable, type=parse_numbers, metavar="NUMBERS", default=default, help=help_text
-    )
-
-
-def json_option(command: Callable[..., None]) -> Callable[..., None]:
-    """Add the option `--json FILE`."""
-    option = click.option(
-        "--json", "file", type=click.Path(dir_okay=False), help="Write the figures to FILE as JSON."
-    )
-    return option(command)
 
 
 HELP_TEXT = """Measures the node and its policy at the sizes of large fleets, on this machine alone.
@@ -76,6 +46,7 @@
 python -m benchmarks slow-start-chance  # probability that the nodes together overload it
 python -m benchmarks client-pressure --clients 600  # a node with clients that misuse it
 python -m benchmarks soak --seeds 50  # a node under faults, hostile clients and signals
+python -m benchmarks message-forms --seeds 10  # a node between peers that use all forms of messages
 """
 
 
@@ -99,7 +70,7 @@
 
 
 def _policy_rows(size_name: str, counts: list[int], measure: Callable[[int], Iterable[Cost]]) -> list[Row]:
-    tracked_counts = track(counts, size_name, console=_progress_console, transient=True)
+    tracked_counts = track(counts, size_name, console=progress_console, transient=True)
     rows = growth_rows([cost for count in tracked_counts for cost in measure(count)])
     show_table(f"by {size_name}", rows)
     return rows
@@ -131,7 +102,7 @@
     """Measure a real node with a stub of discovery."""
     arguments = [sys.executable, "-B", "-m", "load_balancer.proxy"]
     rows = []
-    for endpoints in track(sizes, "nodes", console=_progress_console, transient=True):
+    for endpoints in track(sizes, "nodes", console=progress_console, transient=True):
         plan = DiscoveryPlan(endpoints, rate, rollout, zone_lost)
         command = NodeCommand(arguments, root, node_count, cached_endpoints=endpoints if known else 0)
         rows.append(asdict(uvloop.run(node_process.measure_node(plan, command, seconds))))
@@ -159,7 +130,7 @@
 ) -> None:
     """Measure many nodes without clients, in one process, that connect to discovery at once."""
     rows = []
-    for nodes in track(node_counts, "mass restarts", console=_progress_console, transient=True):
+    for nodes in track(node_counts, "mass restarts", console=progress_console, transient=True):
         plan = DiscoveryPlan(endpoints, rate, call_time=call_ms / 1000, unavailable_for=unavailable_for)
         rows.append(asdict(asyncio.run(hollow_nodes.measure_mass_restart(plan, nodes, seconds))))
     show_table(f"mass restarts with {endpoints} endpoints, calls of {call_ms:g} ms", rows, file)
@@ -192,7 +163,7 @@
 ) -> None:
     """Simulate the attempts of all nodes at an endpoint that has just started, and show its worst window."""
     rows = []
-    for nodes in track(node_counts, "nodes", console=_progress_console, transient=True):
+    for nodes in track(node_counts, "nodes", console=progress_console, transient=True):
         for seed in range(seeds):
             scenario = Scenario(nodes, endpoints, rate, utilization, overload_factor, drained, seed)
             rows.append(asdict(slow_start.simulate(scenario)))
@@ -231,111 +202,8 @@
     show_table(f"subsets for {nodes} nodes, of {endpoints} endpoints", rows, file)
 
 
-@main.command("client-pressure")
-@click.option(
-    "--behaviour",
-    "behaviours",
-    type=click.Choice([behaviour.value for behaviour in Behaviour]),
-    multiple=True,
-    default=[behaviour.value for behaviour in Behaviour],
-    help="What the clients do; may be repeated.",
-)
-@click.option("--clients", default=600, help="Clients that misuse the node; floods have one client.")
-@click.option("--seconds", default=8.0)
-@click.option("--memory-mb", default=client_pressure.LEAST_MEMORY_MB, help="The node's memory limit.")
-@click.option("--descriptors", default=client_pressure.DESCRIPTORS, help="The node's descriptor limit.")
-@click.option("--root", default=str(REPOSITORY_ROOT), help="Checkout from which the node is run.")
-@json_option
-def client_pressure_command(
-    behaviours: Sequence[str],
-    clients: int,
-    seconds: float,
-    memory_mb: int,
-    descriptors: int,
-    root: str,
-    file: str | None,
-) -> None:
-    """Measure a node and what its good clients get while other clients misuse it."""
-    rows = []
-    for behaviour in track(behaviours, "behaviours", console=_progress_console, transient=True):
-        count = 1 if behaviour.endswith("flood") else clients
-        measurement = client_pressure.measure_pressure(
-            behaviour, count, seconds, memory_mb, descriptors, Path(root)
-        )
-        rows.append(asdict(uvloop.run(measurement)))
-    show_table(f"a node of {memory_mb} MB and {descriptors} descriptors for {seconds:g} s", rows, file)
-
-
-@main.command("soak")
-@click.option("--first-seed", default=1)
-@click.option("--seeds", default=50, help="Number of runs, one for each seed.")
-@click.option("--seconds", default=8.0, help="Seconds before the shutdown of each run.")
-@click.option("--root", default=str(REPOSITORY_ROOT), help="Checkout from which the node is run.")
-@json_option
-def soak_command(first_seed: int, seeds: int, seconds: float, root: str, file: str | None) -> None:
-    """Run a node under faults, hostile clients and signals, and check the rules of the protocol."""
-    rows = []
-    for seed in track(range(first_seed, first_seed + seeds), "seeds", console=_progress_console):
-        result = uvloop.run(soak.soak(seed, seconds, Path(root)))
-        rows.append(_soak_row(result))
-    show_table(f"soak, {seconds:g} s before the shutdown", rows, file)
-    if any(row["violations"] for row in rows):
-        sys.exit(1)
-
-
-def _status_columns(statuses: Counter[int]) -> dict[str, int]:
-    return {
-        "200": statuses[200],
-        "503": statuses[503],
-        "other": statuses.total() - statuses[200] - statuses[503],
-    }
-
-
-def _violations_column(violations: Counter[str]) -> dict[str, str]:
-    return {"violations": ", ".join(f"{text} {count}" for text, count in violations.items())}
-
-
-def _soak_row(result: soak.SoakResult) -> Row:
-    scenario = result.scenario
-    return {
-        "seed": scenario.seed,
-        "limits": f"{scenario.memory_mb} MB, {scenario.descriptors}",
-        "hostile": ", ".join(f"{count} {behaviour}" for behaviour, count in scenario.hostile),
-        "faults": f"{scenario.upstream_faults.reset:g}, 1 call in {scenario.failing_calls}",
-        "peak": result.peak_memory,
-        **_status_columns(result.statuses),
-        "p99_ms": result.p99_ms,
-        "left": result.departures,
-        "end_s": "killed" if result.ended_after_s is None else result.ended_after_s,
-        **_violations_column(result.violations),
-    }
-
-
-@main.command("message-forms")
-@click.option("--first-seed", default=1)
-@click.option("--seeds", default=10, help="Number of runs, one for each seed.")
-@click.option("--seconds", default=4.0)
-@click.option("--root", default=str(REPOSITORY_ROOT), help="Checkout from which the node is run.")
-@json_option
-def message_forms_command(first_seed: int, seeds: int, seconds: float, root: str, file: str | None) -> None:
-    """Run a node between peers that use all forms of messages, and check what arrives."""
-    rows = []
-    for seed in track(range(first_seed, first_seed + seeds), "seeds", console=_progress_console):
-        result = uvloop.run(forms_check.check_forms(seed, seconds, Path(root)))
-        rows.append(_forms_row(result))
-    show_table(f"messages in all forms for {seconds:g} s", rows, file)
-    if any(row["violations"] for row in rows):
-        sys.exit(1)
-
-
-def _forms_row(result: forms_check.FormsResult) -> Row:
-    return {
-        "seed": result.seed,
-        **_status_columns(result.statuses),
-        "without_length": result.without_length,
-        "forwarded": result.without_length_forwarded,
-        **_violations_column(result.violations),
-    }
+for robustness_command in robustness_commands.COMMANDS:
+    main.add_command(robustness_command)
 
 
 if __name__ == "__main__":
