Reset connections in tests and benchmarks by one function

Cause: the stub of the tests and the app server of message-forms each set SO_LINGER by themselves.

Change: both call reset of benchmarks/live_fleet.py. No behaviour changes.

--- a/benchmarks/forms_check.py
+++ b/benchmarks/forms_check.py
@@ -9,8 +9,6 @@
 import asyncio
 import random
 import re
-import socket
-import struct
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -24,7 +22,7 @@
     next_request_id,
     read_response,
 )
-from benchmarks.live_fleet import AppServer, LiveDiscovery
+from benchmarks.live_fleet import AppServer, LiveDiscovery, reset
 from benchmarks.message_forms import (
     CLOSING_RESPONSES,
     CUT_RESPONSES,
@@ -45,7 +43,6 @@
 PIECE_PAUSE_S = 0.001
 CUT_SHARE = 0.1  # of the responses
 MIN_SHARE_FORWARDED = 0.5  # of the responses without a length that come whole
-CLOSE_WITH_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER: on, 0 s
 
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
 _REQUEST_ID = re.compile(rb"\r\nrequest-id: ([^\r]+)", re.IGNORECASE)
@@ -114,8 +111,7 @@
             self._exchanges.answered.setdefault(key, {})[response] = form
         await _write(writer, encode_response(response, form), self._random)
         if form is ResponseForm.RESET_NO_LENGTH:
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
-            writer.transport.abort()
+            reset(writer)
         return form not in CLOSING_RESPONSES
 
     def _draw_form(self) -> ResponseForm:
--- a/benchmarks/live_fleet.py
+++ b/benchmarks/live_fleet.py
@@ -9,6 +9,8 @@
 import asyncio
 import json
 import re
+import socket
+import struct
 import time
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +20,7 @@
 HEARTBEAT_INTERVAL_S = 2.0
 WORK_S = 0.005  # time that an app server takes for a request
 UNFINISHED_BYTES = 60_000  # of a long response that never ends
+CLOSE_WITH_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER: on, 0 s
 
 _HEAD_END = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
@@ -31,6 +34,12 @@
     )
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, whether or not anything is unread on it."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
+    writer.transport.abort()
+
+
 APP_SERVER_RESPONSES = {
     b"long": _response(b"x" * UNFINISHED_BYTES),
     b"unfinished": _response(b"x" * UNFINISHED_BYTES, MAX_BODY_SIZE),
--- a/tests/proxy/stubs.py
+++ b/tests/proxy/stubs.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import json
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
+from benchmarks.live_fleet import reset
 from load_balancer.policy.settings import Idempotency
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -17,7 +16,6 @@
     "book": Idempotency.KEYED,
     "pay": Idempotency.NOT_IDEMPOTENT,
 }
-CLOSE_WITH_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER: on, 0 s
 TIMEOUT_S = 10.0  # limit for anything that a test waits for; reached only if the test fails
 
 Responder = Callable[["UpstreamStub", bytes, asyncio.StreamWriter], Awaitable[None]]
@@ -74,12 +72,6 @@
     reset(writer)
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Reset the connection, whether or not anything is unread on it."""
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_WITH_RESET)
-    writer.transport.abort()
-
-
 async def never_respond(upstream: UpstreamStub, head: bytes, writer: asyncio.StreamWriter) -> None:
     """Never respond to the request."""
     pass
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from benchmarks.live_fleet import reset
 from load_balancer.policy.endpoints import EndpointState
 from load_balancer.policy.events import DiscoveryLoss, EndpointUpdate, UpdateKind
 from load_balancer.proxy import discovery_client as discovery
@@ -18,7 +19,7 @@
 from load_balancer.proxy.stable_id import stable_id
 from tests.proxy.harness import make_config, run, running_node
 from tests.proxy.race_helpers import wait_until
-from tests.proxy.stubs import TIMEOUT_S, DiscoveryStub, UpstreamStub, make_request, reset
+from tests.proxy.stubs import TIMEOUT_S, DiscoveryStub, UpstreamStub, make_request
 
 
 @pytest.mark.parametrize(
