Test requests that don't fit the memory budget beside an upgrade offer, too

Cause: such requests are discarded while they are parsed, which the mend of upgrade offers touches; no test had both.

Change: the two tests of bodies and of pipelined requests over the budget also run with an offer.

--- a/tests/proxy/test_memory_budget.py
+++ b/tests/proxy/test_memory_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
@@ -23,6 +24,7 @@
 )
 
 LARGE_BODY = b"x" * 60_000
+HEADERS: list[dict[str, Any]] = [{}, {"Connection": "upgrade", "Upgrade": "websocket"}]
 LARGE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + LARGE_BODY
 
 
@@ -31,7 +33,10 @@
     harness.node.budget.limit = harness.node.budget.used + size
 
 
-def test_pipelined_requests_over_the_budget_are_rejected_in_order_and_later_ones_are_served() -> None:
+@pytest.mark.parametrize("headers", HEADERS, ids=["plain", "upgrade offer"])
+def test_pipelined_requests_over_the_budget_are_rejected_in_order_and_later_ones_are_served(
+    headers: dict[str, Any],
+) -> None:
     release = asyncio.Event()
 
     async def test() -> None:
@@ -41,7 +46,8 @@
             client.writer.write(make_request())
             await asyncio.wait_for(upstream.requests.get(), TIMEOUT_S)
             limit_memory(harness, 200_000)
-            client.writer.write(make_request("pay", body=LARGE_BODY) * 3 + make_request() * 200)
+            client.writer.write(make_request("pay", body=LARGE_BODY, **headers) * 3)
+            client.writer.write(make_request(**headers) * 200)
             (connection,) = harness.node.listener.connections
             await wait_until(lambda: connection.input.is_shedding and not connection.input.unparsed)
             assert len(harness.node.listener.connections.request_ids.open_ids) == 1
@@ -56,13 +62,16 @@
     run(test())
 
 
-def test_body_over_the_budget_is_read_and_rejected_and_the_connection_stays_open() -> None:
+@pytest.mark.parametrize("headers", HEADERS, ids=["plain", "upgrade offer"])
+def test_body_over_the_budget_is_read_and_rejected_and_the_connection_stays_open(
+    headers: dict[str, Any],
+) -> None:
     async def test() -> None:
         upstream = await UpstreamStub().start()
         async with running_node(upstream) as harness:
             client = await harness.connect()
             limit_memory(harness, 100_000)
-            assert (await client.exchange(make_request("pay", body=LARGE_BODY)))[0] == 503
+            assert (await client.exchange(make_request("pay", body=LARGE_BODY, **headers)))[0] == 503
             assert upstream.requests.empty()
             assert (await client.exchange(make_request("pay", body=b"short")))[0] == 200
 
