--- a/benchmarks/forms_check.py
+++ b/benchmarks/forms_check.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import re
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -18,11 +17,12 @@
 from benchmarks.good_clients import (
     ANSWER_SLACK_S,
     CLASSES,
+    CONTENT_LENGTH_PATTERN,
     REQUEST_TIMEOUT_MS,
     next_request_id,
     read_response,
 )
-from benchmarks.live_fleet import AppServer, LiveDiscovery, reset
+from benchmarks.live_fleet import REQUEST_ID_PATTERN, AppServer, LiveDiscovery, reset
 from benchmarks.message_forms import (
     CLOSING_RESPONSES,
     CUT_RESPONSES,
@@ -44,9 +44,6 @@
 CUT_SHARE = 0.1  # of the responses
 MIN_SHARE_FORWARDED = 0.5  # of the responses without a length that come whole
 
-_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
-_REQUEST_ID = re.compile(rb"\r\nrequest-id: ([^\r]+)", re.IGNORECASE)
-
 
 @dataclass
 class FormsResult:
@@ -98,7 +95,7 @@
     async def _serve_request(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Serve a request; return whether the connection stays open."""
         head = await reader.readuntil(b"\r\n\r\n")
-        length, request_id = _CONTENT_LENGTH.search(head), _REQUEST_ID.search(head)
+        length, request_id = CONTENT_LENGTH_PATTERN.search(head), REQUEST_ID_PATTERN.search(head)
         body = await reader.readexactly(int(length[1]) if length else 0)
         key = request_id[1] if request_id else b""
         self._exchanges.received.setdefault(key, []).append(body)
--- a/benchmarks/good_clients.py
+++ b/benchmarks/good_clients.py
@@ -15,7 +15,7 @@
 )
 PAUSE_S = 0.02  # between the response to a request and the next request
 CLASSES = ("find", "book", "pay")  # idempotent, keyed, not idempotent; see ``pressure_settings``
-_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
+CONTENT_LENGTH_PATTERN = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
 
 _numbers = itertools.count(1)
 
@@ -66,7 +66,7 @@
 async def read_response(reader: asyncio.StreamReader) -> tuple[int, bytes, bytes]:
     """Read one response, and return its status, head and body."""
     head = await reader.readuntil(b"\r\n\r\n")
-    length = _CONTENT_LENGTH.search(head)
+    length = CONTENT_LENGTH_PATTERN.search(head)
     body = await reader.readexactly(int(length[1]) if length else 0)
     return int(head.split(b" ", 2)[1]), head, body
 
--- a/benchmarks/live_fleet.py
+++ b/benchmarks/live_fleet.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from benchmarks.good_clients import CONTENT_LENGTH_PATTERN
 from load_balancer.proxy.messages import MAX_BODY_SIZE
 
 HEARTBEAT_INTERVAL_S = 2.0
@@ -23,8 +24,7 @@
 CLOSE_WITH_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER: on, 0 s
 
 _HEAD_END = b"\r\n\r\n"
-_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
-_REQUEST_ID = re.compile(rb"\r\nrequest-id: ([^\r]+)", re.IGNORECASE)
+REQUEST_ID_PATTERN = re.compile(rb"\r\nrequest-id: ([^\r]+)", re.IGNORECASE)
 
 
 def _response(body: bytes, length: int | None = None) -> bytes:
@@ -77,7 +77,7 @@
         if head_end < 0:
             return
         head = bytes(self._received[: head_end + 2])
-        length = _CONTENT_LENGTH.search(head)
+        length = CONTENT_LENGTH_PATTERN.search(head)
         size = head_end + len(_HEAD_END) + (int(length[1]) if length else 0)
         if len(self._received) >= size:
             del self._received[:size]
@@ -85,7 +85,7 @@
 
     def _begin(self, head: bytes) -> None:
         method, path, _ = head.split(b" ", 2)
-        request_id = _REQUEST_ID.search(head)
+        request_id = REQUEST_ID_PATTERN.search(head)
         self._app_server.arrivals.append(
             Arrival(time.monotonic(), request_id[1] if request_id else b"", method)
         )
--- a/benchmarks/robustness_commands.py
+++ b/benchmarks/robustness_commands.py
@@ -4,7 +4,7 @@
 
 import sys
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import asdict
 from pathlib import Path
 
@@ -61,13 +61,12 @@
 @json_option
 def soak_command(first_seed: int, seeds: int, seconds: float, root: str, file: str | None) -> None:
     """Run a node under faults, hostile clients and signals, and check the rules of the protocol."""
-    rows = []
-    for seed in track(range(first_seed, first_seed + seeds), "seeds", console=progress_console):
-        result = uvloop.run(soak.soak(seed, seconds, Path(root)))
-        rows.append(_soak_row(result))
-    show_table(f"soak, {seconds:g} s before the shutdown", rows, file)
-    if any(row["violations"] for row in rows):
-        sys.exit(1)
+
+    def run_seed(seed: int) -> Row:
+        return _soak_row(uvloop.run(soak.soak(seed, seconds, Path(root))))
+
+    title = f"soak, {seconds:g} s before the shutdown"
+    _show_checked_seeds(title, range(first_seed, first_seed + seeds), run_seed, file)
 
 
 def _status_columns(statuses: Counter[int]) -> dict[str, int]:
@@ -106,11 +105,20 @@
 @json_option
 def message_forms_command(first_seed: int, seeds: int, seconds: float, root: str, file: str | None) -> None:
     """Run a node between peers that use all forms of messages, and check what arrives."""
-    rows = []
-    for seed in track(range(first_seed, first_seed + seeds), "seeds", console=progress_console):
-        result = uvloop.run(forms_check.check_forms(seed, seconds, Path(root)))
-        rows.append(_forms_row(result))
-    show_table(f"messages in all forms for {seconds:g} s", rows, file)
+
+    def run_seed(seed: int) -> Row:
+        return _forms_row(uvloop.run(forms_check.check_forms(seed, seconds, Path(root))))
+
+    title = f"messages in all forms for {seconds:g} s"
+    _show_checked_seeds(title, range(first_seed, first_seed + seeds), run_seed, file)
+
+
+def _show_checked_seeds(
+    title: str, seeds: Sequence[int], run_seed: Callable[[int], Row], file: str | None
+) -> None:
+    """Show a row for each seed, and end the program with status 1 if one has a violation."""
+    rows = [run_seed(seed) for seed in track(seeds, "seeds", console=progress_console)]
+    show_table(title, rows, file)
     if any(row["violations"] for row in rows):
         sys.exit(1)
 
