Let a test pause reading only when no turn of its connection is to come

Cause: the test is wrong, not the node. It pauses reading by itself after the first request. If parsing that request took over 0.5 ms, as after a hold-up of the process, the connection has a turn to come, which resumes reading. The second request is then read, nothing hides a close, the retry is allowed, and the second endpoint resets, too.

Change: the test waits until no turn is to come, then pauses. Its assertions are as they were.

--- a/tests/proxy/test_client_disconnect_races.py
+++ b/tests/proxy/test_client_disconnect_races.py
@@ -194,6 +194,8 @@
             client.writer.write(make_request())
             await harness.next_event(RequestArrived)
             (connection,) = harness.node.listener.connections
+            # A turn that is still to come, after a parse that took long, would read on.
+            await wait_until(lambda: not connection._has_turn_coming)
             connection.reader.pause()
             client.writer.write(make_request())
             await wait_until(lambda: sum(upstream.requests.qsize() for upstream in upstreams) == 1)
